--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Command for operators of cornelridge.
+
+fn main() {}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Assignment planner, peer liveness and configuration acceptance.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node process: router and gate beside one upstream.
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,3 @@
+//! The node process of cornelridge.
+
+fn main() {}
--- /dev/null
+++ b/crates/ownership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases with guards, takeover and settlement of slice moves.
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission, worker selection, retry budgets and quarantine.
--- /dev/null
+++ b/crates/records/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution records and their replication.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-in store, upstreams and deployments for demo, bench and tests.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the key-value service of the platform.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages and QUIC transport between nodes.
