Add frames, documents, TLS identity and the QUIC transport to wire

Nodes need control datagrams and one stream per request between them. An endpoint keeps at most one connection per direction and peer, uses the connection that either side made, and connects in the background with backoff. An error tells whether any byte can have reached the peer. A connection with open streams is pinged when silent and closed after five silent looks of 150 ms.

--- /dev/null
+++ b/crates/wire/src/connection.rs
@@ -0,0 +1,203 @@
+//! One QUIC connection to a peer, used for streams and datagrams of both sides.
+
+use std::net;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time;
+
+use bytes::Bytes;
+use futures_lite::future;
+use prost::Message;
+use smol::channel;
+
+use crate::generated;
+use crate::stream;
+use crate::transport::{PeerEvent, TransportError};
+
+/// Time in which the first frame of a stream must arrive.
+const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// Code of a connection whose peer stopped answering.
+const CODE_DEAD: quinn::VarInt = quinn::VarInt::from_u32(3);
+/// Code of a connection that a newer one from the same address replaces, or that was forgotten.
+const CODE_RETIRED: quinn::VarInt = quinn::VarInt::from_u32(4);
+
+/// An established connection.
+#[derive(Debug)]
+pub(crate) struct PeerConnection {
+    connection: quinn::Connection,
+    peer: net::SocketAddr,
+    /// Halves of streams that aren't over.
+    halves: AtomicUsize,
+    watched: AtomicBool,
+    retired: AtomicBool,
+    watch: channel::Sender<Arc<PeerConnection>>,
+}
+
+impl PeerConnection {
+    pub(crate) fn new(
+        connection: quinn::Connection,
+        watch: channel::Sender<Arc<PeerConnection>>,
+    ) -> Arc<PeerConnection> {
+        let peer = connection.remote_address();
+        let (halves, watched) = (AtomicUsize::new(0), AtomicBool::new(false));
+        let retired = AtomicBool::new(false);
+        Arc::new(PeerConnection { connection, peer, halves, watched, retired, watch })
+    }
+
+    pub(crate) fn is_closed(&self) -> bool {
+        self.connection.close_reason().is_some()
+    }
+
+    /// Closes the connection as soon as no stream is open on it.
+    pub(crate) fn retire(&self) {
+        self.retired.store(true, Ordering::SeqCst);
+        if self.halves.load(Ordering::SeqCst) == 0 {
+            self.connection.close(CODE_RETIRED, b"retired");
+        }
+    }
+
+    pub(crate) fn close_as_dead(&self) {
+        log::info!(peer:% = self.peer; "peer stopped answering; connection closed");
+        self.connection.close(CODE_DEAD, b"no answer");
+    }
+
+    /// Frames that the peer sent and that show it alive.
+    pub(crate) fn received_frames(&self) -> u64 {
+        let frames = self.connection.stats().frame_rx;
+        frames.acks + frames.stream + frames.datagram
+    }
+
+    /// Sends an empty datagram, which the peer acknowledges and drops.
+    pub(crate) fn ping(&self) {
+        let _ = self.connection.send_datagram(Bytes::new());
+    }
+
+    pub(crate) fn send_datagram(&self, datagram: Bytes) -> bool {
+        self.connection.send_datagram(datagram).is_ok()
+    }
+
+    /// Ends the watch if no stream is open.
+    pub(crate) fn unwatch_if_idle(&self) -> bool {
+        if self.halves.load(Ordering::SeqCst) > 0 {
+            return false;
+        }
+        self.watched.store(false, Ordering::SeqCst);
+        // A stream opened since the first check has asked for the watch that is ending.
+        let is_idle = self.halves.load(Ordering::SeqCst) == 0;
+        is_idle || self.watched.swap(true, Ordering::SeqCst)
+    }
+
+    /// Opens a stream; an error means that nothing was sent.
+    pub(crate) async fn open(
+        self: &Arc<PeerConnection>,
+    ) -> Result<(stream::FrameWriter, stream::FrameReader), TransportError> {
+        let guard = StreamGuard::new(self);
+        let opened = self.connection.open_bi().await;
+        let (send, receive) = opened.map_err(|error| TransportError::ConnectionLost {
+            peer: self.peer,
+            sent: false,
+            reason: error.to_string(),
+        })?;
+        let writer = stream::FrameWriter::new(send, StreamGuard::new(self));
+        Ok((writer, stream::FrameReader::new(receive, guard)))
+    }
+
+    /// Passes on what the peer sends until the connection is lost.
+    pub(crate) async fn serve(self: &Arc<PeerConnection>, events: &channel::Sender<PeerEvent>) {
+        future::zip(self.serve_streams(events), self.serve_datagrams(events)).await;
+    }
+
+    async fn serve_streams(self: &Arc<PeerConnection>, events: &channel::Sender<PeerEvent>) {
+        while let Ok((send, receive)) = self.connection.accept_bi().await {
+            let writer = stream::FrameWriter::new(send, StreamGuard::new(self));
+            let reader = stream::FrameReader::new(receive, StreamGuard::new(self));
+            let mut head = Box::pin(receive_head(writer, reader));
+            // The head mostly comes in the packet that opens the stream: no task is needed then.
+            let event = match future::poll_once(&mut head).await {
+                Some(event) => event,
+                None => {
+                    let events = events.clone();
+                    smol::spawn(async move {
+                        if let Some(event) = future::or(head, head_timeout()).await {
+                            let _ = events.send(event).await;
+                        }
+                    })
+                    .detach();
+                    continue;
+                }
+            };
+            // Waiting here leaves further streams with the peer while the receiver is behind.
+            if let Some(event) = event
+                && events.send(event).await.is_err()
+            {
+                return;
+            }
+        }
+    }
+
+    async fn serve_datagrams(&self, events: &channel::Sender<PeerEvent>) {
+        while let Ok(datagram) = self.connection.read_datagram().await {
+            if datagram.is_empty() {
+                continue;
+            }
+            let from = self.peer;
+            let Ok(message) = generated::ControlMessage::decode(datagram) else {
+                log::debug!(peer:% = from; "datagram dropped: not a control message");
+                continue;
+            };
+            if events.try_send(PeerEvent::Datagram { from, message }).is_err() {
+                log::debug!(peer:% = from; "datagram dropped: the receiver is behind");
+            }
+        }
+    }
+}
+
+async fn receive_head(
+    mut writer: stream::FrameWriter,
+    mut reader: stream::FrameReader,
+) -> Option<PeerEvent> {
+    let from = reader.peer();
+    match reader.receive::<generated::StreamHead>().await {
+        Ok(Some(head)) => Some(PeerEvent::Stream { from, head, writer, reader }),
+        Ok(None) => None,
+        Err(error) => {
+            log::debug!(peer:% = from, error:% = error; "stream refused");
+            writer.reset_with(stream::CODE_INVALID);
+            None
+        }
+    }
+}
+
+async fn head_timeout() -> Option<PeerEvent> {
+    smol::Timer::after(HEAD_TIMEOUT).await;
+    None
+}
+
+/// Counts one half of an open stream on its connection.
+#[derive(Debug)]
+pub(crate) struct StreamGuard {
+    connection: Arc<PeerConnection>,
+}
+
+impl StreamGuard {
+    fn new(connection: &Arc<PeerConnection>) -> StreamGuard {
+        connection.halves.fetch_add(1, Ordering::SeqCst);
+        if !connection.watched.swap(true, Ordering::SeqCst) {
+            let _ = connection.watch.try_send(Arc::clone(connection));
+        }
+        StreamGuard { connection: Arc::clone(connection) }
+    }
+
+    pub(crate) fn peer(&self) -> net::SocketAddr {
+        self.connection.peer
+    }
+}
+
+impl Drop for StreamGuard {
+    fn drop(&mut self) {
+        let halves = self.connection.halves.fetch_sub(1, Ordering::SeqCst) - 1;
+        if halves == 0 && self.connection.retired.load(Ordering::SeqCst) {
+            self.connection.connection.close(CODE_RETIRED, b"retired");
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/stream.rs
@@ -0,0 +1,227 @@
+//! Frames over one bidirectional QUIC stream.
+
+use std::net;
+
+use bytes::{Buf, Bytes, BytesMut};
+
+use crate::codec;
+use crate::connection;
+use crate::transport::TransportError;
+
+/// Most bytes taken from a stream at once.
+const MAX_READ_BYTES: usize = 64 * 1024;
+/// Code of a stream that was given up before its end.
+pub(crate) const CODE_ABANDONED: quinn::VarInt = quinn::VarInt::from_u32(1);
+/// Code of a stream on which an invalid frame arrived.
+pub(crate) const CODE_INVALID: quinn::VarInt = quinn::VarInt::from_u32(2);
+
+/// Sends frames. Dropped before `finish`, it resets the stream, and the peer sees an error.
+#[derive(Debug)]
+pub struct FrameWriter {
+    stream: quinn::SendStream,
+    guard: connection::StreamGuard,
+    /// Encoded frames that aren't handed to QUIC yet.
+    queued: BytesMut,
+    /// The frames being handed over, so that a cancelled `send` loses none of their bytes.
+    unsent: Bytes,
+    sent: bool,
+    ended: bool,
+}
+
+impl FrameWriter {
+    pub(crate) fn new(stream: quinn::SendStream, guard: connection::StreamGuard) -> FrameWriter {
+        let (queued, unsent) = (BytesMut::new(), Bytes::new());
+        FrameWriter { stream, guard, queued, unsent, sent: false, ended: false }
+    }
+
+    /// Address of the peer.
+    pub fn peer(&self) -> net::SocketAddr {
+        self.guard.peer()
+    }
+
+    /// Whether any byte of this stream can have reached the peer.
+    pub fn may_have_reached_peer(&self) -> bool {
+        self.sent
+    }
+
+    /// Encodes a message that is sent together with the next one or with the end of the stream.
+    pub fn queue<M: prost::Message>(&mut self, message: &M) -> Result<(), TransportError> {
+        Ok(codec::encode_frame(message, codec::MAX_FRAME_BYTES, &mut self.queued)?)
+    }
+
+    /// Sends a message; waits while the peer grants no more window.
+    pub async fn send<M: prost::Message>(&mut self, message: &M) -> Result<(), TransportError> {
+        self.queue(message)?;
+        self.flush().await
+    }
+
+    /// Sends a message that carries a document.
+    pub async fn send_document<M: prost::Message>(
+        &mut self,
+        message: &M,
+    ) -> Result<(), TransportError> {
+        codec::encode_frame(message, codec::MAX_DOCUMENT_FRAME_BYTES, &mut self.queued)?;
+        self.flush().await
+    }
+
+    /// Sends the messages that were queued.
+    pub async fn flush(&mut self) -> Result<(), TransportError> {
+        loop {
+            if self.unsent.is_empty() {
+                if self.queued.is_empty() {
+                    return Ok(());
+                }
+                self.unsent = self.queued.split().freeze();
+            }
+            // The buffer is advanced only by what QUIC has accepted, also if this is cancelled.
+            let mut chunk = [self.unsent.clone()];
+            let written = self.stream.write_chunks(&mut chunk).await;
+            let bytes = written.map_err(|error| self.write_error(error))?.bytes;
+            self.unsent.advance(bytes);
+            self.sent |= bytes > 0;
+        }
+    }
+
+    /// Sends what is queued and ends the stream cleanly.
+    pub async fn finish(&mut self) -> Result<(), TransportError> {
+        self.flush().await?;
+        self.ended = true;
+        self.stream.finish().map_err(|_| TransportError::StreamEnded { sent: self.sent })
+    }
+
+    /// Gives the stream up; the peer sees an error.
+    pub fn reset(&mut self) {
+        self.reset_with(CODE_ABANDONED);
+    }
+
+    pub(crate) fn reset_with(&mut self, code: quinn::VarInt) {
+        self.ended = true;
+        let _ = self.stream.reset(code);
+    }
+
+    /// Completes when the peer stops reading, or has received everything after `finish`.
+    ///
+    /// `true` means that everything was received.
+    pub fn received(&self) -> impl Future<Output = bool> + Send + 'static {
+        let stopped = self.stream.stopped();
+        async move { matches!(stopped.await, Ok(None)) }
+    }
+
+    fn write_error(&self, error: quinn::WriteError) -> TransportError {
+        let (peer, sent) = (self.peer(), self.sent);
+        match error {
+            quinn::WriteError::Stopped(_) => TransportError::Refused { peer, sent },
+            quinn::WriteError::ConnectionLost(error) => {
+                TransportError::ConnectionLost { peer, sent, reason: error.to_string() }
+            }
+            quinn::WriteError::ClosedStream | quinn::WriteError::ZeroRttRejected => {
+                TransportError::StreamEnded { sent }
+            }
+        }
+    }
+}
+
+impl Drop for FrameWriter {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.reset();
+        }
+    }
+}
+
+/// Receives frames. Dropped before the end, it tells the peer to stop sending.
+#[derive(Debug)]
+pub struct FrameReader {
+    stream: quinn::RecvStream,
+    /// Absent once the stream has ended.
+    guard: Option<connection::StreamGuard>,
+    peer: net::SocketAddr,
+    decoder: codec::FrameDecoder,
+}
+
+impl FrameReader {
+    pub(crate) fn new(stream: quinn::RecvStream, guard: connection::StreamGuard) -> FrameReader {
+        let peer = guard.peer();
+        FrameReader { stream, guard: Some(guard), peer, decoder: codec::FrameDecoder::default() }
+    }
+
+    /// Address of the peer.
+    pub fn peer(&self) -> net::SocketAddr {
+        self.peer
+    }
+
+    /// The next message, or `None` at the clean end of the stream. Cancelling loses nothing.
+    pub async fn receive<M>(&mut self) -> Result<Option<M>, TransportError>
+    where
+        M: prost::Message + Default,
+    {
+        self.receive_within(codec::MAX_FRAME_BYTES).await
+    }
+
+    /// The next message, which may carry a document.
+    pub async fn receive_document<M>(&mut self) -> Result<Option<M>, TransportError>
+    where
+        M: prost::Message + Default,
+    {
+        self.receive_within(codec::MAX_DOCUMENT_FRAME_BYTES).await
+    }
+
+    /// Tells the peer to stop sending.
+    pub fn stop(&mut self) {
+        self.stop_with(CODE_ABANDONED);
+    }
+
+    async fn receive_within<M>(&mut self, limit: usize) -> Result<Option<M>, TransportError>
+    where
+        M: prost::Message + Default,
+    {
+        let frame = match self.next_frame(limit).await {
+            Ok(Some(frame)) => frame,
+            Ok(None) => {
+                self.guard = None;
+                return Ok(None);
+            }
+            Err(error) => return Err(self.fail(error)),
+        };
+        codec::decode_payload(frame).map(Some).map_err(|error| self.fail(error.into()))
+    }
+
+    async fn next_frame(&mut self, limit: usize) -> Result<Option<Bytes>, TransportError> {
+        loop {
+            if let Some(frame) = self.decoder.next_frame(limit)? {
+                return Ok(Some(frame));
+            }
+            match self.stream.read_chunk(MAX_READ_BYTES, true).await {
+                Ok(Some(chunk)) => self.decoder.push(chunk.bytes),
+                Ok(None) if self.decoder.is_at_boundary() => return Ok(None),
+                Ok(None) => return Err(codec::FrameError::Truncated.into()),
+                Err(error) => return Err(self.read_error(error)),
+            }
+        }
+    }
+
+    fn fail(&mut self, error: TransportError) -> TransportError {
+        if matches!(error, TransportError::Frame(_)) {
+            self.stop_with(CODE_INVALID);
+        }
+        self.guard = None;
+        error
+    }
+
+    fn stop_with(&mut self, code: quinn::VarInt) {
+        let _ = self.stream.stop(code);
+    }
+
+    fn read_error(&self, error: quinn::ReadError) -> TransportError {
+        let peer = self.peer;
+        match error {
+            quinn::ReadError::Reset(_) => TransportError::Cut { peer },
+            quinn::ReadError::ConnectionLost(error) => {
+                TransportError::ConnectionLost { peer, sent: true, reason: error.to_string() }
+            }
+            quinn::ReadError::ClosedStream
+            | quinn::ReadError::IllegalOrderedRead
+            | quinn::ReadError::ZeroRttRejected => TransportError::StreamEnded { sent: true },
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/transport.rs
@@ -0,0 +1,446 @@
+//! The QUIC endpoint of a node.
+
+use std::convert::Infallible;
+use std::io;
+use std::net;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time;
+
+use bytes::Bytes;
+use futures_lite::future;
+use prost::Message;
+use smol::channel;
+use thiserror::Error;
+
+use crate::codec;
+use crate::connection::PeerConnection;
+use crate::generated;
+use crate::identity;
+use crate::peers::{Direction, PeerTable, Route};
+use crate::watchdog;
+
+pub use crate::stream::{FrameReader, FrameWriter};
+
+/// Received data that a stream may hold unread; bounds the memory of one request.
+const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
+/// Streams that a peer may have open.
+const MAX_STREAMS: u32 = 1_024;
+/// Credit for all streams of a connection. It covers a full window of every stream, because slow
+/// readers would otherwise hold all the credit and block the other streams.
+const CONNECTION_WINDOW_BYTES: u32 = MAX_STREAMS * STREAM_WINDOW_BYTES;
+/// Unacknowledged data of a connection.
+const SEND_WINDOW_BYTES: u64 = 4 * 1024 * 1024;
+/// Datagrams that wait to be sent or read, in bytes, on one connection.
+const DATAGRAM_BUFFER_BYTES: usize = 64 * 1024;
+/// Time without any packet after which a connection is over.
+const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(15);
+/// Keeps idle connections open.
+const KEEP_ALIVE: time::Duration = time::Duration::from_secs(5);
+/// Assumed round-trip time of a new connection. A lost first packet is repeated after three times
+/// this, which must fit into `CONNECT_TIMEOUT`.
+const INITIAL_RTT: time::Duration = time::Duration::from_millis(100);
+/// Requests that wait for a connection learn within a second that there is none.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(900);
+/// Time in which a connecting peer must have proved its identity.
+const HANDSHAKE_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+/// Handshakes of connecting peers that may be unfinished; further ones are refused.
+const MAX_HANDSHAKES: usize = 256;
+/// Events that wait for the receiver. When it is full, streams wait and datagrams are dropped.
+const EVENT_CAPACITY: usize = 1_024;
+/// Code of connections of a closed endpoint.
+const CODE_CLOSED: quinn::VarInt = quinn::VarInt::from_u32(0);
+/// Code of a connection whose peer isn't a node.
+const CODE_NOT_A_NODE: quinn::VarInt = quinn::VarInt::from_u32(5);
+
+/// What an endpoint needs.
+#[derive(Clone, Debug)]
+pub struct EndpointSettings {
+    /// UDP address; port 0 takes a free one.
+    pub listen: net::SocketAddr,
+    /// Certificate, key and trusted authorities.
+    pub identity: identity::TlsIdentity,
+}
+
+/// What a peer sent.
+// A box for each request would cost more than the unused bytes of datagrams that wait.
+#[allow(clippy::large_enum_variant)]
+#[derive(Debug)]
+pub enum PeerEvent {
+    /// A control message.
+    Datagram {
+        /// Address of the peer.
+        from: net::SocketAddr,
+        /// The message.
+        message: generated::ControlMessage,
+    },
+    /// A stream with its first frame.
+    Stream {
+        /// Address of the peer.
+        from: net::SocketAddr,
+        /// The first frame.
+        head: generated::StreamHead,
+        /// Sends the answer.
+        writer: FrameWriter,
+        /// Receives the rest of the request.
+        reader: FrameReader,
+    },
+}
+
+/// A QUIC endpoint that connects to peers and accepts their connections; cheap to clone.
+///
+/// Its tasks run on the global executor of `smol`. Dropping the last clone closes it.
+#[derive(Clone, Debug)]
+pub struct NodeEndpoint {
+    shared: Arc<Shared>,
+    events: channel::Receiver<PeerEvent>,
+    _closer: Arc<EndpointCloser>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    endpoint: quinn::Endpoint,
+    address: net::SocketAddr,
+    peers: Mutex<PeerTable>,
+    client: Mutex<quinn::ClientConfig>,
+    events: channel::Sender<PeerEvent>,
+    watch: channel::Sender<Arc<PeerConnection>>,
+}
+
+#[derive(Debug)]
+struct EndpointCloser {
+    shared: Arc<Shared>,
+}
+
+impl Drop for EndpointCloser {
+    fn drop(&mut self) {
+        self.shared.close();
+    }
+}
+
+impl NodeEndpoint {
+    /// Opens the socket and starts to accept peers.
+    pub fn bind(settings: EndpointSettings) -> Result<NodeEndpoint, TransportError> {
+        let EndpointSettings { listen, identity } = settings;
+        let failed = |source| TransportError::Bind { listen, source };
+        let socket = net::UdpSocket::bind(listen).map_err(failed)?;
+        let endpoint = quinn::Endpoint::new(
+            quinn::EndpointConfig::default(),
+            Some(server_config(&identity)),
+            socket,
+            Arc::new(quinn::SmolRuntime),
+        )
+        .map_err(failed)?;
+        let (events, receiver) = channel::bounded(EVENT_CAPACITY);
+        let (watch, watched) = channel::unbounded();
+        let shared = Arc::new(Shared {
+            address: endpoint.local_addr().map_err(failed)?,
+            endpoint,
+            peers: Mutex::default(),
+            client: Mutex::new(client_config(&identity)),
+            events,
+            watch,
+        });
+        smol::spawn(accept(Arc::clone(&shared))).detach();
+        smol::spawn(watchdog::watch(watched)).detach();
+        let _closer = Arc::new(EndpointCloser { shared: Arc::clone(&shared) });
+        Ok(NodeEndpoint { shared, events: receiver, _closer })
+    }
+
+    /// The address that peers connect to.
+    pub fn local_address(&self) -> net::SocketAddr {
+        self.shared.address
+    }
+
+    /// What peers send. Each event goes to one receiver.
+    pub fn events(&self) -> channel::Receiver<PeerEvent> {
+        self.events.clone()
+    }
+
+    /// Number of established connections in both directions.
+    pub fn connections(&self) -> usize {
+        self.shared.peers().connections()
+    }
+
+    /// Sends a control message that may get lost. Connects in the background if necessary.
+    pub fn send_datagram(&self, to: net::SocketAddr, message: &generated::ControlMessage) {
+        let datagram = Bytes::from(message.encode_to_vec());
+        match self.shared.route(to) {
+            Route::Connected(connection) => {
+                connection.send_datagram(datagram);
+            }
+            Route::Start | Route::Wait(_) => self.shared.peers().queue(to, datagram),
+            Route::Failed(_) => {}
+        }
+    }
+
+    /// Opens a stream and sends its head. Connects if necessary.
+    pub async fn open_stream(
+        &self,
+        to: net::SocketAddr,
+        head: &generated::StreamHead,
+    ) -> Result<(FrameWriter, FrameReader), TransportError> {
+        let (mut writer, reader) = self.open_stream_queued(to, head).await?;
+        writer.flush().await?;
+        Ok((writer, reader))
+    }
+
+    /// Opens a stream whose head is sent with the first frame or with `finish`.
+    pub async fn open_stream_queued(
+        &self,
+        to: net::SocketAddr,
+        head: &generated::StreamHead,
+    ) -> Result<(FrameWriter, FrameReader), TransportError> {
+        let connection = self.shared.connection(to).await?;
+        let (mut writer, reader) = connection.open().await?;
+        writer.queue(head)?;
+        Ok((writer, reader))
+    }
+
+    /// Drops what is known of a peer. Its connections close when their last stream is over.
+    pub fn forget(&self, peer: net::SocketAddr) {
+        self.shared.peers().forget(peer);
+    }
+
+    /// Uses another identity for new connections; established ones go on.
+    pub fn reload(&self, identity: &identity::TlsIdentity) {
+        *lock(&self.shared.client) = client_config(identity);
+        self.shared.endpoint.set_server_config(Some(server_config(identity)));
+    }
+
+    /// Closes all connections at once; streams that aren't over end with an error.
+    pub fn close(&self) {
+        self.shared.close();
+    }
+
+    /// Waits until the peers have been told that the endpoint is closed.
+    pub async fn wait_closed(&self) {
+        self.shared.endpoint.wait_idle().await;
+    }
+}
+
+impl Shared {
+    fn peers(&self) -> MutexGuard<'_, PeerTable> {
+        lock(&self.peers)
+    }
+
+    fn close(&self) {
+        self.endpoint.close(CODE_CLOSED, b"closed");
+        self.events.close();
+        self.watch.close();
+    }
+
+    /// Finds the way to `peer` and starts an attempt to connect if one is due.
+    fn route(self: &Arc<Shared>, peer: net::SocketAddr) -> Route {
+        let mut sign = None;
+        let done = || {
+            let (sender, receiver) = channel::bounded(1);
+            sign = Some(sender);
+            receiver
+        };
+        let route = self.peers().route(peer, time::Instant::now(), done);
+        if let Some(sign) = sign {
+            smol::spawn(Arc::clone(self).connect(peer, sign)).detach();
+        }
+        route
+    }
+
+    /// The connection to `peer`; an error means that nothing was sent.
+    async fn connection(
+        self: &Arc<Shared>,
+        peer: net::SocketAddr,
+    ) -> Result<Arc<PeerConnection>, TransportError> {
+        loop {
+            match self.route(peer) {
+                Route::Connected(connection) => return Ok(connection),
+                Route::Start => {}
+                Route::Wait(done) => {
+                    let _ = done.recv().await;
+                }
+                Route::Failed(reason) => return Err(TransportError::Unreachable { peer, reason }),
+            }
+        }
+    }
+
+    /// Makes one attempt to connect. Dropping `sign` wakes those who wait for its end.
+    async fn connect(self: Arc<Shared>, peer: net::SocketAddr, sign: channel::Sender<Infallible>) {
+        let result = future::or(self.handshake(peer), connect_timeout()).await;
+        let connection = match result {
+            Ok(connection) => connection,
+            Err(reason) => {
+                log::debug!(peer:% = peer, reason:% = reason; "cannot connect");
+                self.peers().failed(peer, time::Instant::now(), reason);
+                return;
+            }
+        };
+        let connection = PeerConnection::new(connection, self.watch.clone());
+        let queued = self.peers().connected(peer, Direction::Outgoing, &connection);
+        drop(sign);
+        self.serve(peer, connection, queued).await;
+    }
+
+    async fn handshake(&self, peer: net::SocketAddr) -> Result<quinn::Connection, Arc<str>> {
+        let config = lock(&self.client).clone();
+        let connecting = self
+            .endpoint
+            .connect_with(config, peer, identity::NODE_SERVER_NAME)
+            .map_err(|error| Arc::from(error.to_string()))?;
+        connecting.await.map_err(|error| Arc::from(error.to_string()))
+    }
+
+    /// Serves an entered connection until it is lost.
+    async fn serve(
+        &self,
+        peer: net::SocketAddr,
+        connection: Arc<PeerConnection>,
+        queued: Vec<Bytes>,
+    ) {
+        for datagram in queued {
+            connection.send_datagram(datagram);
+        }
+        connection.serve(&self.events).await;
+        self.peers().lost(peer, &connection);
+    }
+
+    /// Completes the handshake of a connecting peer and serves it.
+    async fn admit(self: Arc<Shared>, incoming: quinn::Incoming) {
+        let Ok(connecting) = incoming.accept() else { return };
+        let handshake = async { connecting.await.ok() };
+        let Some(connection) = future::or(handshake, handshake_timeout()).await else { return };
+        let peer = connection.remote_address();
+        if !is_node(&connection) {
+            log::warn!(peer:% = peer; "connection refused: the certificate is not one of a node");
+            connection.close(CODE_NOT_A_NODE, b"not a node");
+            return;
+        }
+        let connection = PeerConnection::new(connection, self.watch.clone());
+        let queued = self.peers().connected(peer, Direction::Incoming, &connection);
+        self.serve(peer, connection, queued).await;
+    }
+}
+
+async fn accept(shared: Arc<Shared>) {
+    while let Some(incoming) = shared.endpoint.accept().await {
+        smol::spawn(Arc::clone(&shared).admit(incoming)).detach();
+    }
+}
+
+async fn connect_timeout() -> Result<quinn::Connection, Arc<str>> {
+    smol::Timer::after(CONNECT_TIMEOUT).await;
+    Err(Arc::from("no answer within 0.9 s"))
+}
+
+async fn handshake_timeout() -> Option<quinn::Connection> {
+    smol::Timer::after(HANDSHAKE_TIMEOUT).await;
+    None
+}
+
+fn is_node(connection: &quinn::Connection) -> bool {
+    type Chain = Vec<rustls::pki_types::CertificateDer<'static>>;
+    let chain = connection.peer_identity().and_then(|chain| chain.downcast::<Chain>().ok());
+    let certificate = chain.as_ref().and_then(|chain| chain.first());
+    certificate.is_some_and(identity::is_node_certificate)
+}
+
+fn client_config(identity: &identity::TlsIdentity) -> quinn::ClientConfig {
+    let mut config = quinn::ClientConfig::new(identity.client());
+    // One side's keep-alive is enough: both sides see its packets.
+    let mut transport = transport_config();
+    transport.keep_alive_interval(Some(KEEP_ALIVE));
+    config.transport_config(Arc::new(transport));
+    config
+}
+
+fn server_config(identity: &identity::TlsIdentity) -> quinn::ServerConfig {
+    let mut config = quinn::ServerConfig::with_crypto(identity.server());
+    config.transport_config(Arc::new(transport_config()));
+    config.max_incoming(MAX_HANDSHAKES);
+    config.migration(false);
+    config
+}
+
+fn transport_config() -> quinn::TransportConfig {
+    let mut config = quinn::TransportConfig::default();
+    config
+        .max_concurrent_bidi_streams(MAX_STREAMS.into())
+        .max_concurrent_uni_streams(0_u32.into())
+        .stream_receive_window(STREAM_WINDOW_BYTES.into())
+        .receive_window(CONNECTION_WINDOW_BYTES.into())
+        .send_window(SEND_WINDOW_BYTES)
+        .datagram_receive_buffer_size(Some(DATAGRAM_BUFFER_BYTES))
+        .datagram_send_buffer_size(DATAGRAM_BUFFER_BYTES)
+        .initial_rtt(INITIAL_RTT)
+        .max_idle_timeout(IDLE_TIMEOUT.try_into().ok());
+    config
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A failure of the transport; `may_have_reached_peer` tells whether the request can have run.
+#[derive(Debug, Error)]
+pub enum TransportError {
+    /// The socket can't be opened.
+    #[error("cannot listen on {listen}: choose an address of this host and a free UDP port")]
+    Bind {
+        /// The address.
+        listen: net::SocketAddr,
+        /// Reason given by the operating system.
+        source: io::Error,
+    },
+    /// There is no connection to the peer.
+    #[error("cannot connect to {peer} ({reason}): use another node")]
+    Unreachable {
+        /// Address of the peer.
+        peer: net::SocketAddr,
+        /// Why the last attempt failed.
+        reason: Arc<str>,
+    },
+    /// The connection was lost.
+    #[error("connection to {peer} was lost ({reason}): use another node")]
+    ConnectionLost {
+        /// Address of the peer.
+        peer: net::SocketAddr,
+        /// Whether any byte of the stream can have reached the peer.
+        sent: bool,
+        /// Why it was lost.
+        reason: String,
+    },
+    /// The peer stopped reading the stream.
+    #[error("{peer} stopped reading the stream: read its answer for the reason")]
+    Refused {
+        /// Address of the peer.
+        peer: net::SocketAddr,
+        /// Whether any byte of the stream can have reached the peer.
+        sent: bool,
+    },
+    /// The peer gave the stream up before its end.
+    #[error("{peer} cut the stream before its end: treat the message as not received")]
+    Cut {
+        /// Address of the peer.
+        peer: net::SocketAddr,
+    },
+    /// The stream is over on this side.
+    #[error("the stream is over: open another one")]
+    StreamEnded {
+        /// Whether any byte of the stream can have reached the peer.
+        sent: bool,
+    },
+    /// A frame can't be sent or used.
+    #[error(transparent)]
+    Frame(#[from] codec::FrameError),
+}
+
+impl TransportError {
+    /// Whether any byte of the stream can have reached the peer. `false` is certain; an error of a
+    /// frame says nothing about earlier frames, so it counts as `true`.
+    pub fn may_have_reached_peer(&self) -> bool {
+        match self {
+            TransportError::Bind { .. } | TransportError::Unreachable { .. } => false,
+            TransportError::ConnectionLost { sent, .. }
+            | TransportError::Refused { sent, .. }
+            | TransportError::StreamEnded { sent } => *sent,
+            TransportError::Cut { .. } | TransportError::Frame(_) => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/watchdog.rs
@@ -0,0 +1,67 @@
+//! Notices within a second that a peer is dead while streams wait on it.
+
+use std::sync::Arc;
+use std::time;
+
+use smol::channel;
+
+use crate::connection;
+
+/// Time between two looks at the connections that have open streams.
+const WATCH_INTERVAL: time::Duration = time::Duration::from_millis(150);
+/// Looks without any frame from the peer after which it counts as dead. With the first look this
+/// gives at most 0.9 s. Looks are counted instead of time, so that a pause of this process, after
+/// which the answers are still unread in the socket, isn't taken for silence of the peer.
+const SILENT_LOOKS: u32 = 5;
+
+struct WatchedConnection {
+    connection: Arc<connection::PeerConnection>,
+    frames: u64,
+    silent: u32,
+}
+
+impl WatchedConnection {
+    fn new(connection: Arc<connection::PeerConnection>) -> WatchedConnection {
+        let frames = connection.received_frames();
+        WatchedConnection { connection, frames, silent: 0 }
+    }
+
+    /// Looks once; `false` if the connection needs no more watching.
+    fn look(&mut self) -> bool {
+        if self.connection.is_closed() {
+            return false;
+        }
+        if self.connection.unwatch_if_idle() {
+            return false;
+        }
+        let frames = self.connection.received_frames();
+        if frames != self.frames {
+            self.frames = frames;
+            self.silent = 0;
+            return true;
+        }
+        self.silent += 1;
+        if self.silent >= SILENT_LOOKS {
+            self.connection.close_as_dead();
+            return false;
+        }
+        self.connection.ping();
+        true
+    }
+}
+
+/// Watches the connections that are sent to `added` until the endpoint is dropped.
+pub(crate) async fn watch(added: channel::Receiver<Arc<connection::PeerConnection>>) {
+    let mut watched = Vec::new();
+    loop {
+        if watched.is_empty() {
+            let Ok(connection) = added.recv().await else { return };
+            watched.push(WatchedConnection::new(connection));
+        }
+        while let Ok(connection) = added.try_recv() {
+            watched.push(WatchedConnection::new(connection));
+        }
+        smol::Timer::after(WATCH_INTERVAL).await;
+        watched.retain_mut(WatchedConnection::look);
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/transport.rs
@@ -0,0 +1,180 @@
+//! Streams and datagrams over loopback sockets.
+
+#![allow(clippy::unwrap_used, clippy::panic)]
+
+use std::net;
+use std::time;
+
+use cornelridge_wire::transport::{FrameReader, FrameWriter, NodeEndpoint, PeerEvent};
+use cornelridge_wire::{codec, generated, identity, transport};
+use futures_lite::future;
+use generated::control_message::Body;
+use generated::stream_head::Kind;
+
+/// Far above any expected wait; a test that reaches it has hung.
+const LIMIT: time::Duration = time::Duration::from_secs(60);
+
+fn run<T>(test: impl Future<Output = T>) -> T {
+    let limit = async {
+        smol::Timer::after(LIMIT).await;
+        panic!("the test waited {LIMIT:?} for an event");
+    };
+    smol::block_on(future::or(test, limit))
+}
+
+fn bind_at(listen: net::SocketAddr, identity: identity::TlsIdentity) -> NodeEndpoint {
+    NodeEndpoint::bind(transport::EndpointSettings { listen, identity }).unwrap()
+}
+
+fn bind(identity: identity::TlsIdentity) -> NodeEndpoint {
+    bind_at(([127, 0, 0, 1], 0).into(), identity)
+}
+
+fn pair() -> (NodeEndpoint, NodeEndpoint) {
+    let authority = identity::TrialAuthority::new().unwrap();
+    (bind(authority.issue("a").unwrap()), bind(authority.issue("b").unwrap()))
+}
+
+fn head(id: u64) -> generated::StreamHead {
+    let request = generated::RequestHead { request_id: id, ..Default::default() };
+    generated::StreamHead { kind: Some(Kind::Request(request)) }
+}
+
+fn request_id(head: &generated::StreamHead) -> u64 {
+    match &head.kind {
+        Some(Kind::Request(request)) => request.request_id,
+        other => panic!("not a request: {other:?}"),
+    }
+}
+
+fn probe(nonce: u64) -> generated::ControlMessage {
+    let probe = generated::Probe { nonce, versions: None };
+    generated::ControlMessage { sender: 1, body: Some(Body::Probe(probe)) }
+}
+
+fn chunk(data: Vec<u8>, last: bool) -> generated::BodyChunk {
+    generated::BodyChunk { data, last }
+}
+
+async fn next_stream(endpoint: &NodeEndpoint) -> (generated::StreamHead, FrameWriter, FrameReader) {
+    let events = endpoint.events();
+    loop {
+        if let PeerEvent::Stream { head, writer, reader, .. } = events.recv().await.unwrap() {
+            return (head, writer, reader);
+        }
+    }
+}
+
+async fn next_datagram(endpoint: &NodeEndpoint) -> (net::SocketAddr, generated::ControlMessage) {
+    let events = endpoint.events();
+    loop {
+        if let PeerEvent::Datagram { from, message } = events.recv().await.unwrap() {
+            return (from, message);
+        }
+    }
+}
+
+/// A request and its answer must arrive whole, each with a clean end.
+#[test]
+fn a_request_is_answered() {
+    run(async {
+        let (a, b) = pair();
+        let (mut writer, mut reader) = a.open_stream(b.local_address(), &head(7)).await.unwrap();
+        writer.send(&chunk(vec![1; 100], true)).await.unwrap();
+        writer.finish().await.unwrap();
+        let (seen, mut answer, mut body) = next_stream(&b).await;
+        assert_eq!(request_id(&seen), 7);
+        assert_eq!(body.receive().await.unwrap(), Some(chunk(vec![1; 100], true)));
+        assert_eq!(body.receive::<generated::BodyChunk>().await.unwrap(), None);
+        answer.send(&chunk(vec![2; 200], true)).await.unwrap();
+        answer.finish().await.unwrap();
+        assert_eq!(reader.receive().await.unwrap(), Some(chunk(vec![2; 200], true)));
+        assert_eq!(reader.receive::<generated::BodyChunk>().await.unwrap(), None);
+    });
+}
+
+/// The first datagrams must not be lost to the handshake, and both sides share the connection.
+#[test]
+fn datagrams_pass_in_both_directions() {
+    run(async {
+        let (a, b) = pair();
+        a.send_datagram(b.local_address(), &probe(1));
+        let (from, message) = next_datagram(&b).await;
+        assert_eq!((from, message), (a.local_address(), probe(1)));
+        b.send_datagram(from, &probe(2));
+        assert_eq!(next_datagram(&a).await, (b.local_address(), probe(2)));
+        assert_eq!((a.connections(), b.connections()), (1, 1));
+    });
+}
+
+/// A writer dropped before `finish` must give an error and not a clean end.
+#[test]
+fn a_cut_stream_is_an_error() {
+    run(async {
+        let (a, b) = pair();
+        let (writer, mut reader) = a.open_stream(b.local_address(), &head(1)).await.unwrap();
+        let (_, mut answer, mut body) = next_stream(&b).await;
+        answer.send(&chunk(vec![3; 10], false)).await.unwrap();
+        assert_eq!(reader.receive().await.unwrap(), Some(chunk(vec![3; 10], false)));
+        drop(answer);
+        let cut = reader.receive::<generated::BodyChunk>().await.unwrap_err();
+        assert!(matches!(cut, transport::TransportError::Cut { .. }), "{cut}");
+        assert!(cut.may_have_reached_peer());
+        drop(writer);
+        let cut = body.receive::<generated::BodyChunk>().await.unwrap_err();
+        assert!(matches!(cut, transport::TransportError::Cut { .. }), "{cut}");
+    });
+}
+
+/// A reader that is dropped must end the peer's sending, or abandoned downloads would go on.
+#[test]
+fn a_dropped_reader_stops_the_writer() {
+    run(async {
+        let (a, b) = pair();
+        let (_writer, reader) = a.open_stream(b.local_address(), &head(1)).await.unwrap();
+        let (_, mut answer, _body) = next_stream(&b).await;
+        let received = answer.received();
+        drop(reader);
+        assert!(!received.await);
+        let error = answer.send(&chunk(vec![0; 10], false)).await.unwrap_err();
+        assert!(matches!(error, transport::TransportError::Refused { .. }), "{error}");
+    });
+}
+
+/// A frame above the limit must end its stream only.
+#[test]
+fn an_oversized_frame_ends_its_stream_only() {
+    run(async {
+        let (a, b) = pair();
+        let to = b.local_address();
+        let (mut writer, _reader) = a.open_stream(to, &head(1)).await.unwrap();
+        let (_, _answer, mut body) = next_stream(&b).await;
+        let document = generated::DocumentAnswer { document: vec![0; codec::MAX_FRAME_BYTES] };
+        let refused = writer.send(&document).await.unwrap_err();
+        assert!(matches!(refused, transport::TransportError::Frame(_)), "{refused}");
+        writer.send_document(&document).await.unwrap();
+        let refused = body.receive::<generated::DocumentAnswer>().await.unwrap_err();
+        let too_long = codec::FrameError::TooLong { length: 65_540, limit: 65_536 };
+        assert!(matches!(&refused, transport::TransportError::Frame(error) if *error == too_long));
+        let _second = a.open_stream(to, &head(2)).await.unwrap();
+        assert_eq!(request_id(&next_stream(&b).await.0), 2);
+        assert_eq!(a.connections(), 1);
+    });
+}
+
+/// Documents of up to 1 MiB must pass in one frame.
+#[test]
+fn a_document_passes() {
+    run(async {
+        let (a, b) = pair();
+        let (_writer, mut reader) = a.open_stream(b.local_address(), &head(1)).await.unwrap();
+        let (_, mut answer, _body) = next_stream(&b).await;
+        let document = generated::DocumentAnswer { document: vec![9; 1_000_000] };
+        let sent = async {
+            answer.send_document(&document).await.unwrap();
+            answer.finish().await.unwrap();
+        };
+        let (_, received) = future::zip(sent, reader.receive_document()).await;
+        assert_eq!(received.unwrap(), Some(document.clone()));
+    });
+}
