Add the at-most-once record table

RecordTable keeps one entry for each request, with the state of every execution that was seen for it. States of one execution form a total order, so merging is independent of message order; an execution that waits for copies is given up as soon as another one may have happened. A replica refuses a copy when an execution of another issuer may have happened, which makes each common replica an arbiter between two owners.

--- /dev/null
+++ b/crates/records/src/entry.rs
@@ -0,0 +1,265 @@
+//! What one node knows about all executions of one request.
+
+use std::mem;
+use std::sync::Arc;
+
+use cornelridge_model::{ident, key, time};
+
+use crate::record::{CopyPeer, ExecutionId, Record, RecordState, StoredAnswer};
+
+/// Executions remembered for one request; more of them make the request unknown for good.
+const MAX_EXECUTIONS: usize = 4;
+
+/// Identity of a request.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RequestKey {
+    pub(crate) class: Arc<str>,
+    pub(crate) hash: key::KeyHash,
+    pub(crate) idempotency_key: Arc<str>,
+}
+
+/// Copies that an execution of this node waits for.
+#[derive(Clone, Debug)]
+pub(crate) struct PendingCopies {
+    pub(crate) waiting: Vec<CopyPeer>,
+    pub(crate) has_other_zone: bool,
+}
+
+/// State of one execution; `Replicating` and `InFlight` exist only on the node that issued it.
+#[derive(Clone, Debug)]
+pub(crate) enum Phase {
+    Replicating(PendingCopies),
+    InFlight,
+    Started,
+    Unknown,
+    Freed,
+    Finished(StoredAnswer),
+}
+
+impl Phase {
+    pub(crate) fn from_record(record: &Record) -> Phase {
+        match record.state {
+            RecordState::Started => Phase::Started,
+            RecordState::Unknown => Phase::Unknown,
+            RecordState::Freed => Phase::Freed,
+            RecordState::Finished => {
+                Phase::Finished(record.answer.clone().unwrap_or(StoredAnswer {
+                    status: 0,
+                    headers: Vec::new(),
+                    body: None,
+                }))
+            }
+        }
+    }
+
+    pub(crate) fn state(&self) -> RecordState {
+        match self {
+            Phase::Replicating(_) | Phase::InFlight | Phase::Started => RecordState::Started,
+            Phase::Unknown => RecordState::Unknown,
+            Phase::Freed => RecordState::Freed,
+            Phase::Finished(_) => RecordState::Finished,
+        }
+    }
+
+    pub(crate) fn is_local(&self) -> bool {
+        matches!(self, Phase::Replicating(_) | Phase::InFlight)
+    }
+
+    /// Order of knowledge about one execution. Only the issuer makes `Freed`, and it knows that
+    /// nothing was executed, so `Freed` replaces `Unknown` on nodes that could only guess.
+    fn rank(&self) -> u8 {
+        match self {
+            Phase::Replicating(_) | Phase::InFlight | Phase::Started => 0,
+            Phase::Unknown => 1,
+            Phase::Freed => 2,
+            Phase::Finished(_) => 3,
+        }
+    }
+}
+
+/// One execution of a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Execution {
+    pub(crate) id: ExecutionId,
+    pub(crate) phase: Phase,
+    /// Peers that may hold a copy; empty unless this node issued the execution.
+    pub(crate) notify: Vec<ident::IncarnationId>,
+    /// The node that sent the copy, if it came directly from there.
+    pub(crate) issuer: Option<ident::IncarnationId>,
+}
+
+/// All executions of one request.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    pub(crate) key: RequestKey,
+    pub(crate) executions: Vec<Execution>,
+    pub(crate) begun: time::Instant,
+    pub(crate) expires: time::Instant,
+    /// Position in the order in which stored answers are reduced.
+    pub(crate) answer_order: Option<u64>,
+    /// More executions were seen than are kept: the request stays unknown until it expires.
+    overflowed: bool,
+}
+
+impl Entry {
+    pub(crate) fn new(key: RequestKey, begun: time::Instant, expires: time::Instant) -> Entry {
+        Entry {
+            key,
+            executions: Vec::with_capacity(1),
+            begun,
+            expires,
+            answer_order: None,
+            overflowed: false,
+        }
+    }
+
+    pub(crate) fn execution(&self, id: ExecutionId) -> Option<&Execution> {
+        self.executions.iter().find(|execution| execution.id == id)
+    }
+
+    pub(crate) fn execution_mut(&mut self, id: ExecutionId) -> Option<&mut Execution> {
+        self.executions.iter_mut().find(|execution| execution.id == id)
+    }
+
+    pub(crate) fn has_local(&self) -> bool {
+        self.executions.iter().any(|execution| execution.phase.is_local())
+    }
+
+    pub(crate) fn is_in_flight(&self) -> bool {
+        self.executions.iter().any(|execution| matches!(execution.phase, Phase::InFlight))
+    }
+
+    /// Whether no execution of the request can have happened.
+    pub(crate) fn is_free(&self) -> bool {
+        !self.overflowed
+            && self.executions.iter().all(|execution| matches!(execution.phase, Phase::Freed))
+    }
+
+    /// Whether an execution other than `id` rules out a copy of `id` from `from`. The same node
+    /// starts a second execution only after it has given up the first, whose notice may be late.
+    pub(crate) fn conflicts(&self, id: ExecutionId, from: ident::IncarnationId) -> bool {
+        let is_conflict = |execution: &Execution| match &execution.phase {
+            Phase::Freed => false,
+            Phase::Started => execution.issuer != Some(from),
+            _ => true,
+        };
+        let mut others = self.executions.iter().filter(|execution| execution.id != id);
+        self.overflowed || others.any(is_conflict)
+    }
+
+    pub(crate) fn answer(&self) -> Option<&StoredAnswer> {
+        self.executions.iter().find_map(|execution| match &execution.phase {
+            Phase::Finished(answer) => Some(answer),
+            _ => None,
+        })
+    }
+
+    pub(crate) fn answer_bytes(&self) -> usize {
+        let sizes = self.executions.iter().map(|execution| match &execution.phase {
+            Phase::Finished(answer) => answer.size(),
+            _ => 0,
+        });
+        sizes.sum()
+    }
+
+    /// Keeps only the status of stored answers.
+    pub(crate) fn reduce_answers(&mut self) {
+        for execution in &mut self.executions {
+            if let Phase::Finished(answer) = &mut execution.phase {
+                *answer = answer.status_only();
+            }
+        }
+    }
+
+    /// Adds an execution; past the limit the request becomes unknown instead.
+    pub(crate) fn push(&mut self, execution: Execution) {
+        if self.executions.len() >= MAX_EXECUTIONS {
+            let freed = self.executions.iter().position(|e| matches!(e.phase, Phase::Freed));
+            match freed {
+                Some(index) => drop(self.executions.remove(index)),
+                None => {
+                    self.overflowed = true;
+                    return;
+                }
+            }
+        }
+        self.executions.push(execution);
+    }
+
+    /// Merges what another node knows about an execution. An execution that may have happened is
+    /// never forgotten, whatever the order of the messages.
+    pub(crate) fn merge(&mut self, id: ExecutionId, incoming: Phase) {
+        let may_have_happened = !matches!(incoming, Phase::Freed);
+        match self.execution_mut(id) {
+            Some(execution) => execution.merge(incoming),
+            None => self.push(Execution { id, phase: incoming, notify: Vec::new(), issuer: None }),
+        }
+        if may_have_happened {
+            self.give_up_others(id);
+        }
+    }
+
+    /// An execution that waits for copies is given up when another one may have happened.
+    fn give_up_others(&mut self, id: ExecutionId) {
+        for execution in self.executions.iter_mut().filter(|execution| execution.id != id) {
+            if matches!(execution.phase, Phase::Replicating(_)) {
+                execution.phase = Phase::Freed;
+            }
+        }
+    }
+
+    /// The record of an execution as it is sent to other nodes.
+    pub(crate) fn record(&self, now: time::Instant, execution: &Execution) -> Record {
+        let answer = match &execution.phase {
+            Phase::Finished(answer) => Some(answer.clone()),
+            _ => None,
+        };
+        // An execution in flight may end after the window, which therefore starts again elsewhere.
+        let is_in_flight = matches!(execution.phase, Phase::InFlight);
+        let age = if is_in_flight { time::Duration::ZERO } else { now.since(self.begun) };
+        Record {
+            class: Arc::clone(&self.key.class),
+            hash: self.key.hash,
+            idempotency_key: Arc::clone(&self.key.idempotency_key),
+            execution: execution.id,
+            state: execution.phase.state(),
+            answer,
+            age,
+        }
+    }
+
+    /// Records of all executions. An overflowed request adds one that no node can free.
+    pub(crate) fn records(&self, now: time::Instant) -> Vec<Record> {
+        let records = self.executions.iter().map(|execution| self.record(now, execution));
+        let mut records = records.collect::<Vec<_>>();
+        if let Some(first) = records.first().filter(|_| self.overflowed).cloned() {
+            let execution = ExecutionId(!first.execution.0);
+            records.push(Record { execution, state: RecordState::Unknown, answer: None, ..first });
+        }
+        records
+    }
+}
+
+impl Execution {
+    fn merge(&mut self, incoming: Phase) {
+        let is_news = match (&self.phase, &incoming) {
+            // Only this node decides the fate of what it has dispatched.
+            (Phase::InFlight, _) => false,
+            (Phase::Replicating(_), Phase::Freed) => false,
+            (Phase::Finished(held), Phase::Finished(new)) => held.size() < new.size(),
+            (held, new) => held.rank() < new.rank(),
+        };
+        if is_news {
+            self.phase = incoming;
+        }
+    }
+
+    /// Takes the outcome that the issuer itself observed.
+    pub(crate) fn conclude(&mut self, concluded: Phase) -> bool {
+        let is_news = self.phase.rank() < concluded.rank();
+        if is_news {
+            let _ = mem::replace(&mut self.phase, concluded);
+        }
+        is_news
+    }
+}
