--- /dev/null
+++ b/crates/control/src/acceptance.rs
@@ -0,0 +1,281 @@
+//! Acceptance of documents: only higher versions, only valid ones, from the store or from peers.
+
+use std::collections::BTreeMap;
+
+use cornelridge_model::{assignment, class, ident, time};
+use thiserror::Error;
+
+/// Most bytes of an encoded document: the limit of a value in the store.
+pub const MAX_DOCUMENT_BYTES: usize = 1_000_000;
+/// After this time without an answer a pull counts as failed.
+pub const PULL_TIMEOUT: time::Duration = time::Duration::from_millis(2_000);
+/// How long a peer isn't asked again after a failed pull.
+pub const PULL_PAUSE: time::Duration = time::Duration::from_millis(500);
+/// How long a peer isn't asked again after it has sent a document that was rejected.
+pub const REJECTED_PAUSE: time::Duration = time::Duration::from_secs(10);
+/// Highest version that is accepted: a corrupt value near the end of the range would make every
+/// later document look older.
+pub const MAX_VERSION: u64 = 1 << 48;
+/// Most peers whose versions are remembered.
+const MAX_CLAIMS: usize = 64;
+
+/// Where a document came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DocumentSource {
+    /// The store.
+    Store,
+    /// Another node.
+    Peer(ident::IncarnationId),
+}
+
+/// A document as received.
+#[derive(Clone, Copy, Debug)]
+pub enum Candidate<'a> {
+    /// A class configuration.
+    Classes(&'a class::ClassDocument),
+    /// An assignment.
+    Assignment(&'a assignment::AssignmentDocument),
+    /// Bytes that couldn't be decoded, with the decoder's message.
+    Undecodable(&'a str),
+}
+
+impl Candidate<'_> {
+    fn version(&self) -> Option<(u64, u64)> {
+        match self {
+            Candidate::Classes(document) => Some((document.revision.0, document.change_id)),
+            Candidate::Assignment(document) => Some((document.epoch.0, document.change_id)),
+            Candidate::Undecodable(_) => None,
+        }
+    }
+
+    fn validate(&self) -> Result<(), GateError> {
+        match self {
+            Candidate::Classes(document) => document.validate().map_err(GateError::Classes),
+            Candidate::Assignment(document) => document.validate().map_err(GateError::Assignment),
+            Candidate::Undecodable(reason) => {
+                Err(GateError::Undecodable { reason: (*reason).to_owned() })
+            }
+        }
+    }
+}
+
+/// What happens with a document that was offered.
+#[derive(Clone, Debug, PartialEq)]
+pub enum GateVerdict {
+    /// Higher and valid: the caller puts it in force.
+    Accepted,
+    /// The version that is already in force.
+    Known,
+    /// A lower version; the one in force stays.
+    Older,
+    /// Not usable; the one in force stays.
+    Rejected(GateError),
+}
+
+/// Why a document was rejected.
+#[derive(Clone, Debug, PartialEq, Error)]
+pub enum GateError {
+    /// More bytes than a document may have.
+    #[error("document has {size} bytes, more than 1000000: reduce classes or slices")]
+    TooLarge {
+        /// Its size.
+        size: usize,
+    },
+    /// The bytes aren't a document.
+    #[error("document can't be decoded ({reason}): restore the last good document in the store")]
+    Undecodable {
+        /// Message of the decoder.
+        reason: String,
+    },
+    /// The class configuration breaks a rule.
+    #[error("class configuration is not valid: {0}")]
+    Classes(class::ClassError),
+    /// The assignment breaks a rule.
+    #[error("assignment is not valid: {0}")]
+    Assignment(assignment::AssignmentError),
+    /// The version is out of range.
+    #[error("version {version} is out of range: restore the last good document in the store")]
+    VersionRange {
+        /// The version.
+        version: u64,
+    },
+    /// Two different documents have the same version.
+    #[error("version {version} exists twice with different contents: write a higher version")]
+    Conflicting {
+        /// The version.
+        version: u64,
+    },
+}
+
+/// A pull in progress.
+#[derive(Clone, Copy, Debug)]
+struct Pull {
+    peer: ident::IncarnationId,
+    since: time::Instant,
+}
+
+/// Decides which version of one document is in force on this node.
+#[derive(Clone, Debug, Default)]
+pub struct VersionGate {
+    version: u64,
+    change_id: u64,
+    source: Option<DocumentSource>,
+    store_seen: bool,
+    /// Peers that said they have a higher version.
+    claims: BTreeMap<ident::IncarnationId, u64>,
+    /// Peers that aren't asked before a time.
+    paused: BTreeMap<ident::IncarnationId, time::Instant>,
+    pull: Option<Pull>,
+}
+
+impl VersionGate {
+    /// A gate that has accepted nothing yet.
+    pub fn new() -> VersionGate {
+        VersionGate::default()
+    }
+
+    /// The version in force; 0 before the first document.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Where the document in force came from.
+    pub fn source(&self) -> Option<DocumentSource> {
+        self.source
+    }
+
+    /// Whether the store has answered since this process started.
+    pub fn has_seen_store(&self) -> bool {
+        self.store_seen
+    }
+
+    /// The store has answered, also if only to say that there is no document.
+    pub fn store_answered(&mut self) {
+        self.store_seen = true;
+    }
+
+    /// Judges a document of `size` encoded bytes.
+    pub fn offer(
+        &mut self,
+        now: time::Instant,
+        source: DocumentSource,
+        size: usize,
+        candidate: &Candidate<'_>,
+    ) -> GateVerdict {
+        if source == DocumentSource::Store {
+            self.store_seen = true;
+        }
+        let verdict = self.judge(size, candidate);
+        if let DocumentSource::Peer(peer) = source {
+            self.settle_pull(now, peer, &verdict);
+        }
+        if let (GateVerdict::Accepted, Some((version, change_id))) = (&verdict, candidate.version())
+        {
+            self.version = version;
+            self.change_id = change_id;
+            self.source = Some(source);
+            self.claims.retain(|_, claimed| *claimed > version);
+        }
+        verdict
+    }
+
+    fn judge(&self, size: usize, candidate: &Candidate<'_>) -> GateVerdict {
+        if size > MAX_DOCUMENT_BYTES {
+            return GateVerdict::Rejected(GateError::TooLarge { size });
+        }
+        let (version, change_id) = candidate.version().unwrap_or((u64::MAX, 0));
+        if version < self.version {
+            return GateVerdict::Older;
+        }
+        if version == self.version && change_id == self.change_id {
+            return GateVerdict::Known;
+        }
+        if version == self.version {
+            return GateVerdict::Rejected(GateError::Conflicting { version });
+        }
+        match candidate.validate() {
+            Ok(()) if version > MAX_VERSION => {
+                GateVerdict::Rejected(GateError::VersionRange { version })
+            }
+            Ok(()) => GateVerdict::Accepted,
+            Err(error) => GateVerdict::Rejected(error),
+        }
+    }
+
+    /// A peer has sent less than it claimed, or something unusable: it isn't asked at once again.
+    fn settle_pull(
+        &mut self,
+        now: time::Instant,
+        peer: ident::IncarnationId,
+        verdict: &GateVerdict,
+    ) {
+        if self.pull.is_some_and(|pull| pull.peer == peer) {
+            self.pull = None;
+        }
+        match verdict {
+            GateVerdict::Accepted => {}
+            GateVerdict::Known | GateVerdict::Older => self.pause(peer, now + PULL_PAUSE),
+            GateVerdict::Rejected(_) => self.pause(peer, now + REJECTED_PAUSE),
+        }
+    }
+
+    /// A peer has told its version in a renewal or a probe.
+    pub fn heard(&mut self, now: time::Instant, peer: ident::IncarnationId, version: u64) {
+        if version <= self.version {
+            self.claims.remove(&peer);
+            return;
+        }
+        self.paused.retain(|_, until| *until > now);
+        if self.claims.len() >= MAX_CLAIMS && !self.claims.contains_key(&peer) {
+            let lowest = self.claims.iter().min_by_key(|(_, claimed)| **claimed);
+            let Some((lowest, claimed)) = lowest.map(|(peer, claimed)| (*peer, *claimed)) else {
+                return;
+            };
+            if claimed >= version {
+                return;
+            }
+            self.claims.remove(&lowest);
+        }
+        self.claims.insert(peer, version);
+    }
+
+    /// The peer to pull the document from now, if any. The caller reports the document through
+    /// `offer` or a failure through `pull_failed`.
+    pub fn next_pull(&mut self, now: time::Instant) -> Option<ident::IncarnationId> {
+        if let Some(pull) = self.pull {
+            if now.since(pull.since) < PULL_TIMEOUT {
+                return None;
+            }
+            self.pull_failed(now, pull.peer);
+        }
+        let is_paused =
+            |peer: &ident::IncarnationId| self.paused.get(peer).is_some_and(|until| *until > now);
+        let claims = self.claims.iter().filter(|(peer, _)| !is_paused(peer));
+        let highest = claims.max_by_key(|(_, claimed)| **claimed);
+        let peer = highest.map(|(peer, _)| *peer)?;
+        self.pull = Some(Pull { peer, since: now });
+        Some(peer)
+    }
+
+    /// A pull got no document.
+    pub fn pull_failed(&mut self, now: time::Instant, peer: ident::IncarnationId) {
+        if self.pull.is_some_and(|pull| pull.peer == peer) {
+            self.pull = None;
+        }
+        self.pause(peer, now + PULL_PAUSE);
+    }
+
+    /// Forgets a peer that has left.
+    pub fn forget(&mut self, peer: ident::IncarnationId) {
+        self.claims.remove(&peer);
+        self.paused.remove(&peer);
+        if self.pull.is_some_and(|pull| pull.peer == peer) {
+            self.pull = None;
+        }
+    }
+
+    fn pause(&mut self, peer: ident::IncarnationId, until: time::Instant) {
+        self.claims.remove(&peer);
+        self.paused.insert(peer, until);
+    }
+}
--- /dev/null
+++ b/crates/control/src/liveness.rs
@@ -0,0 +1,553 @@
+//! Which peers are alive, found by probes at a bounded rate.
+//!
+//! Each node probes a few watched peers in every period and the others in a shuffled order, so the
+//! traffic of a node doesn't grow with the number of members. A peer that doesn't answer is probed
+//! through others before it is suspected, so that one broken link isn't taken for a lost node.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use cornelridge_model::{ident, time};
+
+/// Relayed probes that a node carries for others at the same time.
+const MAX_CARRIED: usize = 32;
+/// Silent peers that are probed again, and probed through others, in one round.
+const MAX_REPEATS: usize = 2;
+/// Direct probes that must have failed before a peer is suspected; one may just have been dropped.
+const SUSPECT_PROBES: u32 = 2;
+/// Direct probes that must have failed before a peer is lost.
+const LOST_PROBES: u32 = 3;
+/// How long a nonce is remembered, so that a late answer still counts.
+const NONCE_SPAN: time::Duration = time::Duration::from_secs(5);
+/// A gap between polls after which this process, not its peers, is taken to have paused.
+const PAUSE_GAP: time::Duration = time::Duration::from_millis(1_000);
+
+/// Intervals and bounds of the probes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LivenessConfig {
+    /// Time between two rounds of probes.
+    pub period: time::Duration,
+    /// Peers of the shuffled order that are probed in one round.
+    pub sweep: usize,
+    /// Most peers that are probed in every round because a takeover depends on them.
+    pub max_watched: usize,
+    /// After this time a probe without an answer is repeated through other peers.
+    pub probe_timeout: time::Duration,
+    /// Peers that are asked for a relayed probe.
+    pub relays: usize,
+    /// A peer without any sign of life for this long since its first missed probe is suspected.
+    pub suspect_after: time::Duration,
+    /// A peer without any sign of life for this long since its first missed probe is lost.
+    pub lost_after: time::Duration,
+    /// Time between two probes of lost peers, in turn.
+    pub lost_period: time::Duration,
+    /// Most datagrams that this node sends for probes in a second, answers not counted.
+    pub datagrams_per_second: u64,
+}
+
+impl Default for LivenessConfig {
+    /// 40 datagrams of about 100 bytes are 4 KB of the 11 KB that a node may use in a second.
+    fn default() -> LivenessConfig {
+        LivenessConfig {
+            period: time::Duration::from_millis(200),
+            sweep: 2,
+            max_watched: 4,
+            probe_timeout: time::Duration::from_millis(200),
+            relays: 2,
+            suspect_after: time::Duration::from_millis(600),
+            lost_after: time::Duration::from_millis(2_000),
+            lost_period: time::Duration::from_millis(1_000),
+            datagrams_per_second: 40,
+        }
+    }
+}
+
+/// Whether a peer is alive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerState {
+    /// Shows signs of life, or hasn't been found silent yet.
+    Alive,
+    /// Silent to direct and relayed probes.
+    Suspect,
+    /// Silent for long; probed at a low rate.
+    Lost,
+}
+
+/// How a living peer can be reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerLink {
+    /// It answers direct probes.
+    Direct,
+    /// Direct probes fail, but this member reaches it.
+    Relayed(ident::IncarnationId),
+    /// Its own messages arrive here, but it answers neither direct nor relayed probes.
+    OneWay,
+    /// No sign of life.
+    Down,
+}
+
+/// What to send or tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LivenessAction {
+    /// Send a probe.
+    Probe {
+        /// The peer.
+        to: ident::IncarnationId,
+        /// Returned in the answer.
+        nonce: u64,
+    },
+    /// Ask a member to probe a peer.
+    AskRelay {
+        /// The member that is asked.
+        via: ident::IncarnationId,
+        /// The peer to probe.
+        target: ident::IncarnationId,
+        /// Returned in the answer.
+        nonce: u64,
+    },
+    /// Tell a member that the relayed probe was answered.
+    RelayAck {
+        /// The member that asked.
+        to: ident::IncarnationId,
+        /// Its nonce.
+        nonce: u64,
+        /// The peer that answered.
+        target: ident::IncarnationId,
+    },
+    /// The state of a peer has changed.
+    Changed {
+        /// The peer.
+        peer: ident::IncarnationId,
+        /// Its new state.
+        state: PeerState,
+    },
+    /// Another process answered at the address of a peer: the host was replaced or restarted.
+    Replaced {
+        /// The process that was probed.
+        old: ident::IncarnationId,
+        /// The process that answered.
+        new: ident::IncarnationId,
+    },
+}
+
+/// What is known about one peer.
+#[derive(Clone, Debug)]
+struct Peer {
+    state: PeerState,
+    is_watched: bool,
+    /// When the oldest probe was sent since the last sign of life.
+    silent_since: Option<time::Instant>,
+    /// Direct probes sent since the last sign of life.
+    silent_probes: u32,
+    /// Whether other members were asked, or none could be, since the last sign of life.
+    has_asked_relays: bool,
+    /// When the oldest direct probe was sent since the last answer to a direct probe.
+    direct_since: Option<time::Instant>,
+    last_relayed: Option<(time::Instant, ident::IncarnationId)>,
+    last_heard: Option<time::Instant>,
+    last_relay_request: Option<time::Instant>,
+}
+
+impl Peer {
+    fn new() -> Peer {
+        Peer {
+            state: PeerState::Alive,
+            is_watched: false,
+            silent_since: None,
+            silent_probes: 0,
+            has_asked_relays: false,
+            direct_since: None,
+            last_relayed: None,
+            last_heard: None,
+            last_relay_request: None,
+        }
+    }
+
+    fn has_direct_failed(&self, now: time::Instant, config: &LivenessConfig) -> bool {
+        self.direct_since.is_some_and(|since| now.since(since) >= config.probe_timeout)
+    }
+
+    /// The state that the silence so far amounts to.
+    fn judged(&self, now: time::Instant, config: &LivenessConfig) -> PeerState {
+        let silence = self.silent_since.map_or(time::Duration::ZERO, |since| now.since(since));
+        let is_asked = self.has_asked_relays;
+        if silence >= config.lost_after && self.silent_probes >= LOST_PROBES && is_asked {
+            return PeerState::Lost;
+        }
+        if silence >= config.suspect_after && self.silent_probes >= SUSPECT_PROBES && is_asked {
+            return PeerState::Suspect;
+        }
+        PeerState::Alive
+    }
+
+    fn restart_silence(&mut self) {
+        self.silent_since = None;
+        self.silent_probes = 0;
+        self.has_asked_relays = false;
+    }
+}
+
+/// A probe that was sent.
+#[derive(Clone, Copy, Debug)]
+struct SentProbe {
+    target: ident::IncarnationId,
+    sent: time::Instant,
+    /// The member that asked for it, and its nonce.
+    carried_for: Option<(ident::IncarnationId, u64)>,
+    /// The member that was asked to send it; absent for a direct probe.
+    via: Option<ident::IncarnationId>,
+}
+
+/// Liveness of the peers of one node.
+#[derive(Clone, Debug)]
+pub struct PeerLiveness {
+    config: LivenessConfig,
+    peers: BTreeMap<ident::IncarnationId, Peer>,
+    /// Peers still to be probed in this pass over all of them.
+    order: VecDeque<ident::IncarnationId>,
+    probes: BTreeMap<u64, SentProbe>,
+    next_nonce: u64,
+    next_round: time::Instant,
+    next_lost_probe: time::Instant,
+    lost_cursor: usize,
+    last_poll: Option<time::Instant>,
+    /// Datagrams that may be sent now, times one million.
+    tokens: u64,
+}
+
+impl PeerLiveness {
+    /// No peers yet. `first_nonce` should be random so that answers to an earlier process of this
+    /// host aren't taken for answers to this one.
+    pub fn new(config: LivenessConfig, first_nonce: u64) -> PeerLiveness {
+        PeerLiveness {
+            config,
+            peers: BTreeMap::new(),
+            order: VecDeque::new(),
+            probes: BTreeMap::new(),
+            next_nonce: first_nonce,
+            next_round: time::Instant(0),
+            next_lost_probe: time::Instant(0),
+            lost_cursor: 0,
+            last_poll: None,
+            tokens: config.datagrams_per_second.saturating_mul(1_000_000),
+        }
+    }
+
+    /// Sets the peers, without this node. Those that stay keep their state.
+    pub fn set_peers(&mut self, peers: &[ident::IncarnationId]) {
+        self.peers.retain(|peer, _| peers.contains(peer));
+        for peer in peers {
+            self.peers.entry(*peer).or_insert_with(Peer::new);
+        }
+        self.order.retain(|peer| self.peers.contains_key(peer));
+    }
+
+    /// Sets the peers that are probed in every round, the most important first; those past the
+    /// configured number are left to the shuffled order.
+    pub fn set_watched(&mut self, watched: &[ident::IncarnationId]) {
+        self.peers.values_mut().for_each(|peer| peer.is_watched = false);
+        let mut left = self.config.max_watched;
+        for incarnation in watched {
+            let Some(peer) = self.peers.get_mut(incarnation) else { continue };
+            if left > 0 && !peer.is_watched {
+                peer.is_watched = true;
+                left -= 1;
+            }
+        }
+    }
+
+    /// State of a peer; `Lost` if it isn't known.
+    pub fn state(&self, peer: ident::IncarnationId) -> PeerState {
+        self.peers.get(&peer).map_or(PeerState::Lost, |peer| peer.state)
+    }
+
+    /// How a peer can be reached.
+    pub fn link(&self, now: time::Instant, peer: ident::IncarnationId) -> PeerLink {
+        let Some(peer) = self.peers.get(&peer) else { return PeerLink::Down };
+        let is_recent = |at: time::Instant| now.since(at) <= self.config.lost_after;
+        let has_failed = peer.has_direct_failed(now, &self.config);
+        if !has_failed && peer.state == PeerState::Alive {
+            return PeerLink::Direct;
+        }
+        match (peer.last_relayed, peer.last_heard) {
+            (Some((at, via)), _) if is_recent(at) => PeerLink::Relayed(via),
+            (_, Some(at)) if is_recent(at) => PeerLink::OneWay,
+            _ => PeerLink::Down,
+        }
+    }
+
+    /// Peers that are lost.
+    pub fn lost(&self) -> Vec<ident::IncarnationId> {
+        let lost = self.peers.iter().filter(|(_, peer)| peer.state == PeerState::Lost);
+        lost.map(|(incarnation, _)| *incarnation).collect()
+    }
+
+    /// When `poll` has something to do again.
+    pub fn next_wake(&self) -> time::Instant {
+        self.next_round
+    }
+
+    /// Sends due probes and updates states.
+    pub fn poll(&mut self, now: time::Instant, rng: &mut fastrand::Rng) -> Vec<LivenessAction> {
+        self.refill(now);
+        if now < self.next_round {
+            return Vec::new();
+        }
+        self.next_round = now + self.config.period;
+        self.probes.retain(|_, probe| now.since(probe.sent) < NONCE_SPAN);
+        let mut actions = self.judge(now);
+        self.probe_round(now, rng, &mut actions);
+        self.request_relays(now, rng, &mut actions);
+        self.repeat_probes(now, rng, &mut actions);
+        self.probe_lost(now, &mut actions);
+        actions
+    }
+
+    /// Adds the datagrams earned since the last poll. After a pause of this process the silence
+    /// before it says nothing about the peers.
+    fn refill(&mut self, now: time::Instant) {
+        let gap = self.last_poll.map_or(time::Duration::ZERO, |last| now.since(last));
+        self.last_poll = Some(now);
+        let most = self.config.datagrams_per_second.saturating_mul(1_000_000);
+        let earned = gap.0.saturating_mul(self.config.datagrams_per_second);
+        self.tokens = self.tokens.saturating_add(earned).min(most);
+        if gap > PAUSE_GAP {
+            self.peers.values_mut().for_each(Peer::restart_silence);
+        }
+    }
+
+    fn judge(&mut self, now: time::Instant) -> Vec<LivenessAction> {
+        let config = self.config;
+        let mut actions = Vec::new();
+        for (incarnation, peer) in &mut self.peers {
+            let state = peer.judged(now, &config);
+            let is_worse = matches!(
+                (peer.state, state),
+                (PeerState::Alive, PeerState::Suspect)
+                    | (PeerState::Alive | PeerState::Suspect, PeerState::Lost)
+            );
+            if is_worse {
+                peer.state = state;
+                actions.push(LivenessAction::Changed { peer: *incarnation, state });
+            }
+        }
+        actions
+    }
+
+    fn due_peers(&self, is_due: impl Fn(&Peer) -> bool) -> Vec<ident::IncarnationId> {
+        let due = self.peers.iter().filter(|(_, peer)| is_due(peer));
+        due.map(|(incarnation, _)| *incarnation).collect()
+    }
+
+    /// Probes the watched peers and the next ones of the shuffled order.
+    fn probe_round(
+        &mut self,
+        now: time::Instant,
+        rng: &mut fastrand::Rng,
+        actions: &mut Vec<LivenessAction>,
+    ) {
+        let watched = self.due_peers(|peer| peer.is_watched && peer.state != PeerState::Lost);
+        let swept = self.sweep(rng, &watched);
+        watched.into_iter().chain(swept).for_each(|target| self.probe(now, target, actions));
+    }
+
+    /// Probes some of the peers again whose direct probe has failed.
+    fn repeat_probes(
+        &mut self,
+        now: time::Instant,
+        rng: &mut fastrand::Rng,
+        actions: &mut Vec<LivenessAction>,
+    ) {
+        let config = self.config;
+        let mut due = self.due_peers(|peer| {
+            let is_repeated = peer.state != PeerState::Lost && !peer.is_watched;
+            is_repeated && peer.has_direct_failed(now, &config)
+        });
+        rng.shuffle(&mut due);
+        due.sort_by_key(|peer| self.peers.get(peer).map(|peer| peer.silent_since.is_none()));
+        due.truncate(MAX_REPEATS);
+        due.into_iter().for_each(|target| self.probe(now, target, actions));
+    }
+
+    fn probe(
+        &mut self,
+        now: time::Instant,
+        to: ident::IncarnationId,
+        actions: &mut Vec<LivenessAction>,
+    ) {
+        let Some(nonce) = self.send(now, to, None, None) else { return };
+        if let Some(peer) = self.peers.get_mut(&to) {
+            peer.silent_since.get_or_insert(now);
+            peer.direct_since.get_or_insert(now);
+            peer.silent_probes += 1;
+        }
+        actions.push(LivenessAction::Probe { to, nonce });
+    }
+
+    /// Asks other members to probe some of the peers that missed a direct probe.
+    fn request_relays(
+        &mut self,
+        now: time::Instant,
+        rng: &mut fastrand::Rng,
+        actions: &mut Vec<LivenessAction>,
+    ) {
+        let config = self.config;
+        let mut due = self.due_peers(|peer| {
+            let last = peer.last_relay_request;
+            peer.state != PeerState::Lost
+                && peer.has_direct_failed(now, &config)
+                && last.is_none_or(|last| now.since(last) >= config.suspect_after)
+        });
+        rng.shuffle(&mut due);
+        due.sort_by_key(|peer| self.peers.get(peer).map(|peer| peer.has_asked_relays));
+        due.truncate(MAX_REPEATS);
+        for target in due {
+            let mut helpers = self.due_peers(|peer| {
+                peer.state == PeerState::Alive && !peer.has_direct_failed(now, &config)
+            });
+            rng.shuffle(&mut helpers);
+            for via in helpers.into_iter().take(config.relays) {
+                let Some(nonce) = self.send(now, target, None, Some(via)) else { return };
+                actions.push(LivenessAction::AskRelay { via, target, nonce });
+            }
+            if let Some(peer) = self.peers.get_mut(&target) {
+                peer.last_relay_request = Some(now);
+                peer.has_asked_relays = true;
+            }
+        }
+    }
+
+    /// The next peers of the shuffled order.
+    fn sweep(
+        &mut self,
+        rng: &mut fastrand::Rng,
+        already: &[ident::IncarnationId],
+    ) -> Vec<ident::IncarnationId> {
+        if self.order.is_empty() {
+            let mut all = self.due_peers(|peer| peer.state != PeerState::Lost);
+            rng.shuffle(&mut all);
+            self.order = all.into();
+        }
+        let mut swept = Vec::new();
+        while swept.len() < self.config.sweep {
+            let Some(peer) = self.order.pop_front() else { break };
+            let is_lost = self.state(peer) == PeerState::Lost;
+            if !is_lost && !already.contains(&peer) {
+                swept.push(peer);
+            }
+        }
+        swept
+    }
+
+    /// Lost peers are probed in turn, so a host that returns is found without the store.
+    fn probe_lost(&mut self, now: time::Instant, actions: &mut Vec<LivenessAction>) {
+        if now < self.next_lost_probe {
+            return;
+        }
+        let lost = self.lost();
+        if lost.is_empty() {
+            return;
+        }
+        self.lost_cursor = (self.lost_cursor + 1) % lost.len();
+        let to = lost[self.lost_cursor];
+        let Some(nonce) = self.send(now, to, None, None) else { return };
+        self.next_lost_probe = now + self.config.lost_period;
+        actions.push(LivenessAction::Probe { to, nonce });
+    }
+
+    /// Takes a nonce for a datagram, or `None` if the rate is exhausted.
+    fn send(
+        &mut self,
+        now: time::Instant,
+        target: ident::IncarnationId,
+        carried_for: Option<(ident::IncarnationId, u64)>,
+        via: Option<ident::IncarnationId>,
+    ) -> Option<u64> {
+        self.tokens = self.tokens.checked_sub(1_000_000)?;
+        let nonce = self.next_nonce;
+        self.next_nonce = self.next_nonce.wrapping_add(1);
+        let probe = SentProbe { target, sent: now, carried_for, via };
+        self.probes.insert(nonce, probe);
+        Some(nonce)
+    }
+
+    /// Any authenticated message from a peer shows that it lives.
+    pub fn heard(&mut self, now: time::Instant, from: ident::IncarnationId) -> Vec<LivenessAction> {
+        let Some(peer) = self.peers.get_mut(&from) else { return Vec::new() };
+        peer.last_heard = Some(now);
+        self.revive(from)
+    }
+
+    /// A member asks this node to probe a peer; at most a bounded number is carried.
+    pub fn on_relay(
+        &mut self,
+        now: time::Instant,
+        from: ident::IncarnationId,
+        nonce: u64,
+        target: ident::IncarnationId,
+    ) -> Option<LivenessAction> {
+        let is_carried = |probe: &&SentProbe| {
+            probe.carried_for.is_some() && now.since(probe.sent) < self.config.lost_after
+        };
+        let carried = self.probes.values().filter(is_carried).count();
+        if carried >= MAX_CARRIED || !self.peers.contains_key(&target) {
+            return None;
+        }
+        let own = self.send(now, target, Some((from, nonce)), None)?;
+        Some(LivenessAction::Probe { to: target, nonce: own })
+    }
+
+    /// An answer to a probe: `target` is the peer that was reached, `from` the sender.
+    pub fn on_ack(
+        &mut self,
+        now: time::Instant,
+        from: ident::IncarnationId,
+        nonce: u64,
+        target: ident::IncarnationId,
+    ) -> Vec<LivenessAction> {
+        let Some(probe) = self.probes.get(&nonce).copied() else { return Vec::new() };
+        if probe.via.is_some() {
+            return self.on_relayed_ack(now, from, probe, target);
+        }
+        if target != from {
+            return Vec::new();
+        }
+        self.probes.remove(&nonce);
+        if from != probe.target {
+            return vec![LivenessAction::Replaced { old: probe.target, new: from }];
+        }
+        let mut actions = self.revive(from);
+        if let Some(peer) = self.peers.get_mut(&from) {
+            peer.direct_since = None;
+        }
+        if let Some((to, nonce)) = probe.carried_for {
+            actions.push(LivenessAction::RelayAck { to, nonce, target });
+        }
+        actions
+    }
+
+    fn on_relayed_ack(
+        &mut self,
+        now: time::Instant,
+        from: ident::IncarnationId,
+        probe: SentProbe,
+        target: ident::IncarnationId,
+    ) -> Vec<LivenessAction> {
+        if target != probe.target || probe.via != Some(from) {
+            return Vec::new();
+        }
+        if let Some(peer) = self.peers.get_mut(&target) {
+            peer.last_relayed = Some((now, from));
+        }
+        self.revive(target)
+    }
+
+    fn revive(&mut self, incarnation: ident::IncarnationId) -> Vec<LivenessAction> {
+        let Some(peer) = self.peers.get_mut(&incarnation) else { return Vec::new() };
+        peer.restart_silence();
+        if peer.state == PeerState::Alive {
+            return Vec::new();
+        }
+        peer.state = PeerState::Alive;
+        vec![LivenessAction::Changed { peer: incarnation, state: PeerState::Alive }]
+    }
+}
--- /dev/null
+++ b/crates/control/src/write.rs
@@ -0,0 +1,156 @@
+//! A compare-and-swap whose answer may be lost.
+//!
+//! Every document contains the random id of the change that wrote it, so a write without an answer
+//! is resolved by reading the document back.
+
+use cornelridge_model::time;
+
+/// Store calls after which a write is given up; with the pauses about ten seconds.
+const MAX_CALLS: u32 = 20;
+/// Pause before a call that follows one without an answer.
+const FIRST_PAUSE: time::Duration = time::Duration::from_millis(50);
+/// Longest pause between calls.
+const LONGEST_PAUSE: time::Duration = time::Duration::from_millis(1_000);
+
+/// Answer of the store to a conditional write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PutAnswer {
+    /// Written, with the new revision of the key.
+    Written(u64),
+    /// The key has another revision than expected.
+    Mismatch,
+    /// No answer: the write may have taken effect, or may still do so.
+    Lost,
+}
+
+/// Answer of the store to a read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadAnswer {
+    /// The key's revision and the change id in the value, if the value could be decoded.
+    Found {
+        /// Revision of the key in the store.
+        revision: u64,
+        /// Change id in the value.
+        change_id: Option<u64>,
+    },
+    /// The key doesn't exist.
+    Absent,
+    /// No answer.
+    Lost,
+}
+
+/// How a write ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteResult {
+    /// The store holds, or held, the value as this revision.
+    TookEffect(u64),
+    /// Another change was written first; the key now has this revision.
+    LostTo(u64),
+    /// The key changed more than once since, so the value may have been written and replaced.
+    Uncertain(u64),
+    /// The store doesn't answer. The write may still take effect.
+    GaveUp,
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteStep {
+    /// Write if the key has this revision, not before the given time.
+    Put {
+        /// Revision that the key must have; 0 if it must not exist.
+        if_match: u64,
+        /// Earliest time.
+        at: time::Instant,
+    },
+    /// Read the key, not before the given time.
+    Read {
+        /// Earliest time.
+        at: time::Instant,
+    },
+    /// Finished.
+    Done(WriteResult),
+}
+
+/// One conditional write until its result is known.
+#[derive(Clone, Debug)]
+pub struct PendingWrite {
+    change_id: u64,
+    base: u64,
+    /// Whether a put had no answer, so that it may take effect later.
+    has_lost_put: bool,
+    calls: u32,
+    pause: time::Duration,
+}
+
+impl PendingWrite {
+    /// A write of a value with `change_id` over the revision `base`; 0 creates the key.
+    pub fn new(change_id: u64, base: u64) -> PendingWrite {
+        PendingWrite { change_id, base, has_lost_put: false, calls: 0, pause: time::Duration::ZERO }
+    }
+
+    /// The first step.
+    pub fn start(&mut self, now: time::Instant) -> WriteStep {
+        self.put(now)
+    }
+
+    /// The step after the answer to a put.
+    pub fn on_put(&mut self, now: time::Instant, answer: PutAnswer) -> WriteStep {
+        match answer {
+            PutAnswer::Written(revision) => WriteStep::Done(WriteResult::TookEffect(revision)),
+            PutAnswer::Mismatch => self.read(now),
+            PutAnswer::Lost => {
+                self.has_lost_put = true;
+                self.lengthen_pause();
+                self.read(now)
+            }
+        }
+    }
+
+    /// The step after the answer to a read.
+    pub fn on_read(&mut self, now: time::Instant, answer: ReadAnswer) -> WriteStep {
+        match answer {
+            ReadAnswer::Lost => {
+                self.lengthen_pause();
+                self.read(now)
+            }
+            ReadAnswer::Absent => self.on_revision(now, 0, None),
+            ReadAnswer::Found { revision, change_id } => self.on_revision(now, revision, change_id),
+        }
+    }
+
+    fn on_revision(&mut self, now: time::Instant, found: u64, change_id: Option<u64>) -> WriteStep {
+        if found != 0 && change_id == Some(self.change_id) {
+            return WriteStep::Done(WriteResult::TookEffect(found));
+        }
+        // The same condition makes a repeated put harmless when the first one arrives late.
+        if found == self.base {
+            return self.put(now);
+        }
+        let is_certain = !self.has_lost_put || self.base.checked_add(1) == Some(found);
+        let result =
+            if is_certain { WriteResult::LostTo(found) } else { WriteResult::Uncertain(found) };
+        WriteStep::Done(result)
+    }
+
+    fn put(&mut self, now: time::Instant) -> WriteStep {
+        let if_match = self.base;
+        self.count(WriteStep::Put { if_match, at: now + self.pause })
+    }
+
+    fn read(&mut self, now: time::Instant) -> WriteStep {
+        self.count(WriteStep::Read { at: now + self.pause })
+    }
+
+    fn count(&mut self, step: WriteStep) -> WriteStep {
+        if self.calls >= MAX_CALLS {
+            return WriteStep::Done(WriteResult::GaveUp);
+        }
+        self.calls += 1;
+        step
+    }
+
+    fn lengthen_pause(&mut self) {
+        let doubled = self.pause.saturating_mul(2).max(FIRST_PAUSE);
+        self.pause = doubled.min(LONGEST_PAUSE);
+    }
+}
