Add the public types and signatures of the ownership crate

The node process is written against the facade at the same time, so its surface lands first: OwnershipMachine, messages, actions, grant decisions, tickets, errors and the report. The methods do nothing yet; every slice is answered with NotOwner, which is safe to integrate.

--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -1,1 +1,29 @@
 //! Leases with guards, takeover and settlement of slice moves.
+//!
+//! Pure state machines: the caller passes the time and the datagrams in, and carries out the
+//! returned actions.
+//!
+//! ```
+//! use cornelridge_model::{assignment, ident, time};
+//! use cornelridge_ownership::{GrantDecision, OwnershipMachine};
+//!
+//! let machine = OwnershipMachine::new(ident::IncarnationId(7));
+//! let slice = assignment::SliceKey { class: 0, slice: 0 };
+//! let decision = machine.grant(time::Instant(0), slice);
+//! assert_eq!(decision, GrantDecision::NotOwner { holder: None });
+//! ```
+
+mod action;
+mod error;
+mod machine;
+mod message;
+mod report;
+pub mod timing;
+
+pub use crate::action::{CancelReason, GrantDecision, OwnershipAction, WorkId, WorkTicket};
+pub use crate::error::AdoptError;
+pub use crate::machine::OwnershipMachine;
+pub use crate::message::OwnershipMessage;
+pub use crate::report::{
+    DutyReport, ExpiryReport, GuardReport, LeaseReport, OwnershipReport, UnsettledReport,
+};
--- /dev/null
+++ b/crates/ownership/src/timing.rs
@@ -0,0 +1,34 @@
+//! Intervals and bounds of the lease protocol.
+
+use cornelridge_model::time;
+
+/// Span for which a majority of acknowledged renewals keeps a lease, counted from their sending.
+pub const LEASE_TERM: time::Duration = time::Duration::from_millis(600);
+/// Interval between renewals to a guard that acknowledges them.
+pub const RENEW_INTERVAL: time::Duration = time::Duration::from_millis(200);
+/// Interval between renewals to a guard that has stopped acknowledging; longer than
+/// `GUARD_PATIENCE`, so that a holder that hears no acknowledgements can be vouched for.
+pub const SLOW_RENEW_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
+/// Span without a renewal after which a guard may vouch: `LEASE_TERM` + 1% + 20 ms.
+pub const GUARD_PATIENCE: time::Duration = time::Duration::from_millis(626);
+/// Silence of an earlier member after which a successor asks the guards.
+pub const PEER_SILENCE: time::Duration = time::Duration::from_millis(400);
+/// Interval between questions to guards and to members that haven't confirmed.
+pub const ASK_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// Silence after which a member that guards don't vouch for is asked about less often.
+pub const LONG_SILENCE: time::Duration = time::Duration::from_millis(5_000);
+/// Longest time that work for a lost slice may continue before it is cancelled.
+pub const CANCEL_BOUND: time::Duration = time::Duration::from_millis(2_000);
+/// Extra wait before succeeding a member whose upstream doesn't check fences.
+pub const CHECK_TO_SEND: time::Duration = time::Duration::from_millis(200);
+/// Most time that one observation adds to the active clock; a longer gap is a pause.
+pub const LONGEST_STEP: time::Duration = time::Duration::from_millis(100);
+/// Silence of the other zones after which this process counts itself as isolated. With one renewal
+/// interval it must stay below `GUARD_PATIENCE`: a guard that is cut off must not vouch.
+pub const ISOLATION_LIMIT: time::Duration = time::Duration::from_millis(300);
+/// Span for which a holder fails to renew, while its successors answer, before it gives up.
+pub const LAPSE_LIMIT: time::Duration = time::Duration::from_millis(1_200);
+/// Time in which a guard that has never acknowledged is sent renewals at the normal interval.
+pub const FIRST_CONTACT: time::Duration = time::Duration::from_millis(5_000);
+/// Interval between announcements of a release after the first second.
+pub const SLOW_ANNOUNCE_INTERVAL: time::Duration = time::Duration::from_millis(2_000);
