Add the interface of the policy crate

Cause: the node needs the types of admission, selection, retries, hedging and quarantine before the decisions behind them are complete. Change: public types and signatures. Conclusion: the node can be written against these signatures.

--- /dev/null
+++ b/crates/policy/src/quarantine.rs
@@ -0,0 +1,231 @@
+//! Requests that crash upstreams.
+
+use std::collections::HashMap;
+
+use cornelridge_model::ident;
+use cornelridge_model::time;
+
+/// How long a request is refused after its second crash, and how long a suspect is remembered.
+pub const QUARANTINE: time::Duration = time::Duration::from_secs(600);
+/// Most fingerprints that are remembered.
+pub const MAX_ENTRIES: usize = 4_096;
+
+/// Hash of what makes two requests the same work: class, method, path, key and short bodies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestFingerprint(pub u64);
+
+/// One crash of one upstream, named so that every node counts it once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CrashId {
+    /// The node beside the upstream.
+    pub node: ident::IncarnationId,
+    /// Counts the crashes that this node has seen.
+    pub sequence: u64,
+}
+
+/// What is done with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SuspectDecision {
+    /// Nothing is known against it.
+    Pass,
+    /// It was in flight at a crash and runs without others beside it.
+    RunAlone,
+    /// It was in flight at two crashes.
+    Refuse {
+        /// Time until it is accepted again.
+        remaining: time::Duration,
+    },
+}
+
+/// Fact about a fingerprint for the other nodes; merging one twice has no effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SuspectNotice {
+    /// It was in flight at this crash.
+    InFlight {
+        /// The request.
+        fingerprint: RequestFingerprint,
+        /// The crash.
+        crash: CrashId,
+    },
+    /// It is refused.
+    Refused {
+        /// The request.
+        fingerprint: RequestFingerprint,
+        /// Time until it is accepted again.
+        remaining: time::Duration,
+    },
+    /// It completed after this crash.
+    Cleared {
+        /// The request.
+        fingerprint: RequestFingerprint,
+        /// The crash.
+        crash: CrashId,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+enum SuspectState {
+    Suspect { crash: CrashId, since: time::Instant },
+    Refused { until: time::Instant },
+}
+
+impl SuspectState {
+    fn expiry(self) -> time::Instant {
+        match self {
+            SuspectState::Suspect { since, .. } => since + QUARANTINE,
+            SuspectState::Refused { until } => until,
+        }
+    }
+}
+
+/// Fingerprints of requests that were in flight when an upstream ended.
+#[derive(Debug, Default)]
+pub struct SuspectRegistry {
+    entries: HashMap<RequestFingerprint, SuspectState>,
+}
+
+impl SuspectRegistry {
+    /// Creates an empty registry.
+    pub fn new() -> SuspectRegistry {
+        SuspectRegistry::default()
+    }
+
+    /// Records the requests in flight at a crash and returns the notices for the other nodes.
+    pub fn crashed(
+        &mut self,
+        now: time::Instant,
+        crash: CrashId,
+        in_flight: &[RequestFingerprint],
+    ) -> Vec<SuspectNotice> {
+        let mut notices = Vec::with_capacity(in_flight.len());
+        for &fingerprint in in_flight {
+            self.add(now, fingerprint, crash);
+            notices.push(SuspectNotice::InFlight { fingerprint, crash });
+            if let SuspectDecision::Refuse { remaining } = self.decide(now, fingerprint) {
+                notices.push(SuspectNotice::Refused { fingerprint, remaining });
+            }
+        }
+        notices
+    }
+
+    /// Records that a request completed; returns the notice that clears a suspect.
+    ///
+    /// `dispatched` guards against a request that was already running elsewhere at the crash.
+    pub fn completed(
+        &mut self,
+        dispatched: time::Instant,
+        fingerprint: RequestFingerprint,
+    ) -> Option<SuspectNotice> {
+        match self.entries.get(&fingerprint).copied() {
+            Some(SuspectState::Suspect { crash, since }) if dispatched >= since => {
+                self.entries.remove(&fingerprint);
+                Some(SuspectNotice::Cleared { fingerprint, crash })
+            }
+            _ => None,
+        }
+    }
+
+    /// Takes over a fact from another node; `true` if it was new.
+    pub fn merge(&mut self, now: time::Instant, notice: SuspectNotice) -> bool {
+        match notice {
+            SuspectNotice::InFlight { fingerprint, crash } => self.add(now, fingerprint, crash),
+            SuspectNotice::Refused { fingerprint, remaining } => {
+                self.refuse(now, fingerprint, now + remaining.min(QUARANTINE))
+            }
+            SuspectNotice::Cleared { fingerprint, crash } => self.clear(fingerprint, crash),
+        }
+    }
+
+    /// Decides on a request before it is dispatched.
+    pub fn decide(&self, now: time::Instant, fingerprint: RequestFingerprint) -> SuspectDecision {
+        match self.entries.get(&fingerprint) {
+            Some(state) if state.expiry() <= now => SuspectDecision::Pass,
+            Some(SuspectState::Suspect { .. }) => SuspectDecision::RunAlone,
+            Some(SuspectState::Refused { until }) => {
+                SuspectDecision::Refuse { remaining: until.since(now) }
+            }
+            None => SuspectDecision::Pass,
+        }
+    }
+
+    /// Everything in force, for a node that has just joined.
+    pub fn notices(&self, now: time::Instant) -> Vec<SuspectNotice> {
+        let live = self.entries.iter().filter(|(_, state)| state.expiry() > now);
+        live.map(|(&fingerprint, &state)| match state {
+            SuspectState::Suspect { crash, .. } => SuspectNotice::InFlight { fingerprint, crash },
+            SuspectState::Refused { until } => {
+                SuspectNotice::Refused { fingerprint, remaining: until.since(now) }
+            }
+        })
+        .collect()
+    }
+
+    /// Forgets what has expired; call it about every second.
+    pub fn tick(&mut self, now: time::Instant) {
+        self.entries.retain(|_, state| state.expiry() > now);
+    }
+
+    /// Number of remembered fingerprints.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn add(&mut self, now: time::Instant, fingerprint: RequestFingerprint, crash: CrashId) -> bool {
+        let known = self.entries.get(&fingerprint).copied();
+        match known.filter(|state| state.expiry() > now) {
+            Some(SuspectState::Suspect { crash: first, .. }) if first == crash => false,
+            Some(SuspectState::Suspect { .. }) => self.refuse(now, fingerprint, now + QUARANTINE),
+            Some(SuspectState::Refused { .. }) => false,
+            None => self.store(fingerprint, SuspectState::Suspect { crash, since: now }),
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        now: time::Instant,
+        fingerprint: RequestFingerprint,
+        until: time::Instant,
+    ) -> bool {
+        match self.entries.get(&fingerprint) {
+            Some(SuspectState::Refused { until: known }) if *known >= until || until <= now => {
+                false
+            }
+            _ => self.store(fingerprint, SuspectState::Refused { until }),
+        }
+    }
+
+    fn clear(&mut self, fingerprint: RequestFingerprint, crash: CrashId) -> bool {
+        match self.entries.get(&fingerprint) {
+            Some(SuspectState::Suspect { crash: known, .. }) if *known == crash => {
+                self.entries.remove(&fingerprint).is_some()
+            }
+            _ => false,
+        }
+    }
+
+    fn store(&mut self, fingerprint: RequestFingerprint, state: SuspectState) -> bool {
+        if !self.entries.contains_key(&fingerprint) && self.entries.len() >= MAX_ENTRIES {
+            self.make_room();
+        }
+        self.entries.insert(fingerprint, state);
+        true
+    }
+
+    /// Drops the entry that expires first, a suspect before a refused request.
+    fn make_room(&mut self) {
+        let rank = |state: &SuspectState| matches!(state, SuspectState::Refused { .. });
+        let oldest = self
+            .entries
+            .iter()
+            .min_by_key(|(fingerprint, state)| (rank(state), state.expiry(), **fingerprint))
+            .map(|(&fingerprint, _)| fingerprint);
+        if let Some(fingerprint) = oldest {
+            self.entries.remove(&fingerprint);
+        }
+    }
+}
