--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,3 @@
 //! The node process: router and gate beside one upstream.
+
+pub mod settings;
