--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod ident;
 pub mod key;
 pub mod outcome;
+pub mod report;
 pub mod time;
--- /dev/null
+++ b/crates/node/src/operators/server.rs
@@ -0,0 +1,116 @@
+//! Connections of operators.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time;
+
+use futures_lite::future;
+use hyper::server::conn::http1;
+use hyper::service;
+use smol::net;
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+use tokio_util::sync::CancellationToken;
+
+use crate::metering;
+use crate::operators;
+use crate::operators::answer;
+use crate::operators::route;
+use crate::settings;
+
+/// Most connections of operators at a time.
+const MAX_CONNECTIONS: usize = 32;
+/// Longest header block, in bytes.
+const MAX_HEADER_BYTES: usize = 16 * 1_024;
+/// Time to read the header block.
+const HEADER_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// Time for one request, including the store's answer.
+const REQUEST_TIMEOUT: time::Duration = time::Duration::from_secs(15);
+/// Pause after a failed accept, for example when file descriptors have run out.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// Time between moves of recorded samples into histograms, which bounds their memory.
+const UPKEEP_INTERVAL: time::Duration = time::Duration::from_secs(5);
+
+/// The HTTP endpoint for operators of one node.
+#[derive(Clone)]
+pub struct OperatorEndpoint {
+    pub(crate) node: Arc<str>,
+    pub(crate) token: settings::OperatorToken,
+    pub(crate) source: Arc<dyn operators::OperatorSource>,
+}
+
+impl OperatorEndpoint {
+    /// An endpoint of the node with this name; every request must present `token`.
+    pub fn new(
+        node: &str,
+        token: settings::OperatorToken,
+        source: Arc<dyn operators::OperatorSource>,
+    ) -> OperatorEndpoint {
+        OperatorEndpoint { node: Arc::from(node), token, source }
+    }
+
+    /// Serves until `cancel`; connections run inside this future and end with it.
+    pub async fn serve(self, listener: net::TcpListener, cancel: CancellationToken) {
+        let connections = smol::Executor::new();
+        let endpoint = Arc::new(self);
+        let accept = accept_all(&endpoint, &listener, &connections);
+        let stopped = future::or(cancel.cancelled(), future::or(accept, upkeep()));
+        connections.run(stopped).await;
+    }
+
+    async fn serve_connection(self: Arc<OperatorEndpoint>, stream: net::TcpStream) {
+        let respond = |request| {
+            let endpoint = Arc::clone(&self);
+            async move {
+                let handle = route::handle(&endpoint, request);
+                let expire = async {
+                    smol::Timer::after(REQUEST_TIMEOUT).await;
+                    let seconds = REQUEST_TIMEOUT.as_secs();
+                    let message = format!("the command did not finish within {seconds} s");
+                    answer::unknown_outcome(message).into_answer()
+                };
+                Ok::<_, Infallible>(future::or(handle, expire).await)
+            }
+        };
+        let served = http1::Builder::new()
+            .timer(SmolTimer::new())
+            .header_read_timeout(HEADER_TIMEOUT)
+            .max_buf_size(MAX_HEADER_BYTES)
+            .serve_connection(FuturesIo::new(stream), service::service_fn(respond))
+            .await;
+        if let Err(error) = served {
+            log::debug!("a connection of an operator ended: {error}");
+        }
+    }
+}
+
+async fn accept_all<'a>(
+    endpoint: &Arc<OperatorEndpoint>,
+    listener: &net::TcpListener,
+    connections: &smol::Executor<'a>,
+) {
+    let slots = Arc::new(smol::lock::Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let slot = slots.acquire_arc().await;
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let served = Arc::clone(endpoint).serve_connection(stream);
+                let task = async move {
+                    served.await;
+                    drop(slot);
+                };
+                connections.spawn(task).detach();
+            }
+            Err(error) => {
+                log::warn!("a connection of an operator wasn't accepted: {error}");
+                smol::Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn upkeep() {
+    loop {
+        smol::Timer::after(UPKEEP_INTERVAL).await;
+        metering::upkeep();
+    }
+}
