Add configuration, planning, oversight and start of the node

Cause: the request path has no documents and no process. Change: documents are watched, polled or pulled from peers; the planner runs while its store lease is held; operators' requests reach the node; a node can be started, drained and stopped.

--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -15,6 +15,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::context;
+use crate::drain;
 use crate::peers;
 use crate::planning;
 use crate::serving;
@@ -82,10 +83,8 @@
     {
         return;
     }
-    if announcement.leaving && current.as_ref().is_some_and(|link| !link.announcement.leaving) {
-        log::info!("the upstream of class {} is leaving", announcement.class);
-        crate::drain::upstream_leaving(context);
-    }
+    let starts_leaving = announcement.leaving
+        && current.as_ref().is_none_or(|link| !link.announcement.leaving);
     let is_same = current.as_ref().is_some_and(|link| {
         let known = &link.announcement;
         known.address == announcement.address && known.class == announcement.class
@@ -100,7 +99,9 @@
     let pool = upstream::ConnectionPool::new(announcement.address, announcement.connections);
     let link = context::UpstreamLink { announcement, pool, instance };
     context.set_upstream(Some(Arc::new(link)));
-    if !is_same {
+    if starts_leaving {
+        drain::upstream_leaving(context);
+    } else {
         planning::register(context);
     }
 }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -1,10 +1,12 @@
 //! What the tasks of one node share.
 
+use std::collections::{HashMap, HashSet};
 use std::net;
 use std::sync;
 use std::sync::Arc;
 use std::sync::atomic;
 
+use cornelridge_control::liveness;
 use cornelridge_model::assignment;
 use cornelridge_model::class;
 use cornelridge_model::ident;
@@ -16,18 +18,25 @@
 use cornelridge_records as records;
 use cornelridge_store as store;
 use cornelridge_wire::transport;
+use smol::channel;
 use tokio_util::sync::CancellationToken;
 
 use crate::admission as gate_admission;
 use crate::clock;
+use crate::configuration;
 use crate::documents;
 use crate::executor;
 use crate::failure::{FailureKind, RequestFailure};
-use crate::metering;
+use crate::loads;
+use crate::meter;
+use crate::operators;
 use crate::policies;
 use crate::upstream;
 use crate::workers;
 
+/// Expiries that are remembered as announced.
+const MAX_ANNOUNCED_EXPIRIES: usize = 4_096;
+
 /// Who this node is.
 #[derive(Clone, Debug)]
 pub struct NodeIdentity {
@@ -76,16 +85,28 @@
     pub policies: policies::PolicyTable,
     /// Workers by class.
     pub workers: workers::WorkerTable,
+    /// Request rates of slices and keys.
+    pub(crate) loads: loads::LoadCounter,
+    /// Address that other nodes use.
+    pub(crate) advertised: net::SocketAddr,
+    /// Wakes the task that registers this node.
+    pub(crate) registration: (channel::Sender<()>, channel::Receiver<()>),
+    /// Earlier class configurations, for explaining conflicts.
+    pub(crate) history: sync::Mutex<operators::ClassHistory>,
     /// Metrics.
-    pub meter: metering::NodeMeter,
+    pub meter: meter::NodeMeter,
     machine: sync::Mutex<ownership::OwnershipMachine>,
     records: sync::Mutex<records::RecordTable>,
     gate: sync::Mutex<gate_admission::GateQueue>,
     suspects: sync::Mutex<quarantine::SuspectRegistry>,
     upstream: sync::Mutex<Option<Arc<UpstreamLink>>>,
     upstream_suspected: atomic::AtomicBool,
-    draining: atomic::AtomicBool,
-    store_seen: atomic::AtomicBool,
+    leaving: atomic::AtomicBool,
+    announced: atomic::AtomicU64,
+    liveness: sync::Mutex<liveness::PeerLiveness>,
+    gates: sync::Mutex<configuration::VersionGates>,
+    announced_expiries: sync::Mutex<HashSet<ident::LeaseId>>,
+    works: sync::Mutex<HashMap<ownership::WorkId, CancellationToken>>,
     random: sync::Mutex<fastrand::Rng>,
 }
 
@@ -101,6 +122,7 @@
     pub(crate) endpoint: transport::NodeEndpoint,
     pub(crate) store: Arc<dyn store::ConfigStore>,
     pub(crate) max_records: usize,
+    pub(crate) advertised: net::SocketAddr,
     pub(crate) seed: u64,
 }
 
@@ -117,15 +139,26 @@
             caller_connections: InFlightCounter::default(),
             policies: policies::PolicyTable::default(),
             workers: workers::WorkerTable::default(),
-            meter: metering::NodeMeter::new(&parts.identity.name),
+            loads: loads::LoadCounter::default(),
+            advertised: parts.advertised,
+            registration: channel::bounded(1),
+            history: sync::Mutex::default(),
+            meter: meter::NodeMeter::new(&parts.identity.name, clock),
             machine: sync::Mutex::new(ownership::OwnershipMachine::new(incarnation)),
-            records: sync::Mutex::new(records::RecordTable::new(parts.max_records)),
+            records: sync::Mutex::new(records::RecordTable::with_capacity(parts.max_records)),
             gate: sync::Mutex::new(gate_admission::GateQueue::new(now, 1)),
             suspects: sync::Mutex::default(),
             upstream: sync::Mutex::default(),
             upstream_suspected: atomic::AtomicBool::new(false),
-            draining: atomic::AtomicBool::new(false),
-            store_seen: atomic::AtomicBool::new(false),
+            leaving: atomic::AtomicBool::new(false),
+            announced: atomic::AtomicU64::new(0),
+            liveness: sync::Mutex::new(liveness::PeerLiveness::new(
+                liveness::LivenessConfig::default(),
+                parts.seed,
+            )),
+            gates: sync::Mutex::default(),
+            announced_expiries: sync::Mutex::default(),
+            works: sync::Mutex::default(),
             random: sync::Mutex::new(fastrand::Rng::with_seed(parts.seed)),
             identity: parts.identity,
             executor: parts.executor,
@@ -242,24 +275,68 @@
         self.suspects().decide(now, fingerprint)
     }
 
-    /// Whether the node is leaving.
+    /// Whether the node or its upstream is leaving.
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining.load(atomic::Ordering::Relaxed)
+        self.is_leaving()
+            || self.any_upstream().is_some_and(|link| link.announcement.leaving)
     }
 
     /// Starts to leave; `false` if it has started before.
-    pub(crate) fn start_draining(&self) -> bool {
-        !self.draining.swap(true, atomic::Ordering::Relaxed)
+    pub(crate) fn start_leaving(&self) -> bool {
+        !self.leaving.swap(true, atomic::Ordering::Relaxed)
+    }
+
+    /// Whether the node is leaving.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(atomic::Ordering::Relaxed)
     }
 
-    /// Whether the store has answered since the node started.
-    pub(crate) fn has_seen_store(&self) -> bool {
-        self.store_seen.load(atomic::Ordering::Relaxed)
+    /// When the upstream last announced itself.
+    pub(crate) fn last_announcement(&self) -> time::Instant {
+        time::Instant(self.announced.load(atomic::Ordering::Relaxed))
     }
 
-    /// Notes an answer of the store.
-    pub(crate) fn note_store_seen(&self) {
-        self.store_seen.store(true, atomic::Ordering::Relaxed);
+    /// Notes an announcement.
+    pub(crate) fn note_announcement(&self, now: time::Instant) {
+        self.announced.store(now.0, atomic::Ordering::Relaxed);
+    }
+
+    /// Liveness of the other nodes.
+    pub(crate) fn liveness(&self) -> sync::MutexGuard<'_, liveness::PeerLiveness> {
+        lock(&self.liveness)
+    }
+
+    /// Which versions of the documents to accept and from whom.
+    pub(crate) fn versions(&self) -> sync::MutexGuard<'_, configuration::VersionGates> {
+        lock(&self.gates)
+    }
+
+    /// `true` if the expiry of this lease hasn't been announced by this node.
+    pub(crate) fn note_announced_expiry(&self, lease: ident::LeaseId) -> bool {
+        let mut announced = lock(&self.announced_expiries);
+        if announced.len() >= MAX_ANNOUNCED_EXPIRIES {
+            announced.clear();
+        }
+        announced.insert(lease)
+    }
+
+    /// A token that is cancelled when this work has to end.
+    pub(crate) fn track_work(&self, work: ownership::WorkId) -> CancellationToken {
+        let token = CancellationToken::new();
+        lock(&self.works).insert(work, token.clone());
+        token
+    }
+
+    /// Forgets work that has ended.
+    pub(crate) fn forget_work(&self, work: ownership::WorkId) {
+        lock(&self.works).remove(&work);
+    }
+
+    /// Ends work that must not go on.
+    pub(crate) fn cancel_work(&self, work: ownership::WorkId) {
+        if let Some(token) = lock(&self.works).get(&work) {
+            token.cancel();
+        }
     }
 
     /// Sleeps for a span.
--- a/crates/node/src/documents.rs
+++ b/crates/node/src/documents.rs
@@ -9,6 +9,8 @@
 use cornelridge_model::assignment;
 use cornelridge_model::class;
 use cornelridge_model::ident;
+use cornelridge_model::time;
+use cornelridge_wire::generated;
 
 use crate::context::lock;
 
@@ -19,6 +21,17 @@
     assignment: Arc<assignment::AssignmentDocument>,
     assignment_bytes: Bytes,
     addresses: HashMap<ident::IncarnationId, net::SocketAddr>,
+    peers: HashMap<ident::IncarnationId, PeerVersions>,
+    last_heard: time::Instant,
+}
+
+/// The versions that a peer last told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerVersions {
+    /// Its epoch.
+    pub epoch: ident::EpochNumber,
+    /// Its configuration revision.
+    pub revision: ident::RevisionNumber,
 }
 
 /// Keeps the highest versions with their encoded form, which peers fetch.
@@ -59,6 +72,32 @@
         (state.assignment.epoch, state.classes.revision)
     }
 
+    /// Notes the versions that a peer tells.
+    pub(crate) fn note_peer(
+        &self,
+        now: time::Instant,
+        peer: ident::IncarnationId,
+        versions: generated::Versions,
+    ) {
+        let mut state = lock(&self.state);
+        state.last_heard = now;
+        if state.addresses.contains_key(&peer) {
+            let epoch = ident::EpochNumber(versions.epoch);
+            let revision = ident::RevisionNumber(versions.revision);
+            state.peers.insert(peer, PeerVersions { epoch, revision });
+        }
+    }
+
+    /// When a peer last told its versions.
+    pub(crate) fn last_heard(&self) -> time::Instant {
+        lock(&self.state).last_heard
+    }
+
+    /// The versions that a peer last told.
+    pub(crate) fn peer_versions(&self, peer: ident::IncarnationId) -> Option<PeerVersions> {
+        lock(&self.state).peers.get(&peer).copied()
+    }
+
     /// Puts classes in force; `false` if their revision isn't higher.
     pub fn put_classes(&self, classes: Arc<class::ClassDocument>, bytes: Bytes) -> bool {
         let mut state = lock(&self.state);
@@ -82,6 +121,8 @@
         }
         let addresses = document.members.iter().map(|member| (member.incarnation, member.address));
         state.addresses = addresses.collect();
+        let DocumentState { addresses, peers, .. } = &mut *state;
+        peers.retain(|peer, _| addresses.contains_key(peer));
         state.assignment = document;
         state.assignment_bytes = bytes;
         true
--- a/crates/node/src/executor.rs
+++ b/crates/node/src/executor.rs
@@ -1,27 +1,20 @@
-//! The executor of a process; tasks end with the cancellation token that they are given.
-
-use std::sync::Arc;
+//! Background tasks of a node; they end when the node stops.
 
 use futures_lite::FutureExt;
-use smol::Executor;
+use hyper::rt;
 use tokio_util::sync::CancellationToken;
 
-/// Spawns tasks that stop when the node stops; cheap to clone.
+/// Spawns tasks on the global executor of `smol`, which has one thread unless `SMOL_THREADS` says
+/// otherwise; cheap to clone.
 #[derive(Clone, Debug)]
 pub struct NodeExecutor {
-    inner: Arc<Executor<'static>>,
     stop: CancellationToken,
 }
 
 impl NodeExecutor {
-    /// Tasks run on `inner` until `stop` is cancelled.
-    pub fn new(inner: Arc<Executor<'static>>, stop: CancellationToken) -> NodeExecutor {
-        NodeExecutor { inner, stop }
-    }
-
-    /// The executor itself, for libraries that spawn by themselves.
-    pub fn inner(&self) -> &Arc<Executor<'static>> {
-        &self.inner
+    /// Tasks run until `stop` is cancelled.
+    pub fn new(stop: CancellationToken) -> NodeExecutor {
+        NodeExecutor { stop }
     }
 
     /// The token that ends all tasks.
@@ -32,6 +25,15 @@
     /// Runs a task in the background until it ends or the node stops.
     pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         let stop = self.stop.clone();
-        self.inner.spawn(task.or(async move { stop.cancelled().await })).detach();
+        smol::spawn(task.or(async move { stop.cancelled().await })).detach();
+    }
+}
+
+impl<F> rt::Executor<F> for NodeExecutor
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    fn execute(&self, task: F) {
+        self.spawn(task);
     }
 }
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -72,6 +72,10 @@
     class: &class::ClassConfig,
     source: &node_body::BodySource,
 ) -> Result<Admitted, RequestFailure> {
+    if !class.is_sliced() && context.is_draining() {
+        let message = "this node or its upstream is leaving";
+        return Err(RequestFailure::not_run(FailureKind::Draining, message));
+    }
     let tenure = match class.is_sliced() {
         true => Some(tenure::acquire(context, head, class).await?),
         false => None,
@@ -130,27 +134,27 @@
             Err(message) => return Err(admitted.not_run(FailureKind::BadRequest, message)),
         };
         admitted.slot.dispatched();
-        let sent = async { Some(pool.send(&mut connection, request).await) };
-        let late = async {
-            context.sleep_until(head.deadline).await;
-            None
-        };
-        match sent.or(late).await {
-            Some(Ok(response)) => break (connection, response),
-            Some(Err(error)) if error.not_sent => {
+        let sent = async { SendEnd::Sent(pool.send(&mut connection, request).await) };
+        match sent.or(give_up(context, &admitted, head.deadline)).await {
+            SendEnd::Sent(Ok(response)) => break (connection, response),
+            SendEnd::Sent(Err(error)) if error.not_sent => {
                 stale += 1;
                 source = copy;
                 if source.is_none() || stale >= MAX_STALE_CONNECTIONS {
                     return Err(refused_by_network(context, admitted, &error));
                 }
             }
-            Some(Err(error)) => {
+            SendEnd::Sent(Err(error)) => {
                 context.suspect_upstream();
                 admitted.slot.crashed();
                 let message = error.to_string();
                 return Err(admitted.unknown(FailureKind::UpstreamLost, message));
             }
-            None => {
+            SendEnd::Cancelled => {
+                let message = "this node lost its right to the key while the request ran";
+                return Err(admitted.unknown(FailureKind::LeaseExpired, message));
+            }
+            SendEnd::DeadlinePassed => {
                 let message = "the upstream did not answer before the deadline";
                 return Err(admitted.unknown(FailureKind::DeadlinePassed, message));
             }
@@ -159,6 +163,34 @@
     answer(context, &head, class, admitted, connection, response)
 }
 
+/// How the wait for the head of an answer ended.
+enum SendEnd {
+    Sent(Result<Response<body::Incoming>, upstream::DispatchError>),
+    DeadlinePassed,
+    Cancelled,
+}
+
+async fn give_up(
+    context: &context::NodeContext,
+    admitted: &AdmittedRequest,
+    deadline: time::Instant,
+) -> SendEnd {
+    let late = async {
+        context.sleep_until(deadline).await;
+        SendEnd::DeadlinePassed
+    };
+    match &admitted.tenure {
+        Some(ticket) => {
+            let cancelled = async {
+                ticket.cancelled().cancelled().await;
+                SendEnd::Cancelled
+            };
+            cancelled.or(late).await
+        }
+        None => late.await,
+    }
+}
+
 fn refused_by_network(
     context: &context::NodeContext,
     admitted: AdmittedRequest,
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -13,7 +13,7 @@
 use hyper::service;
 use hyper_util::server::conn::auto;
 use smol::net::{TcpListener, TcpStream};
-use smol_hyper::rt::{FuturesIo, SmolExecutor, SmolTimer};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::body as node_body;
 use crate::context;
@@ -72,8 +72,7 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let executor = SmolExecutor::new(Arc::clone(context.executor.inner()));
-    let mut builder = auto::Builder::new(executor);
+    let mut builder = auto::Builder::new(context.executor.clone());
     builder
         .http1()
         .timer(SmolTimer::new())
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,199 @@
+//! Starts and stops a node.
+
+use std::net;
+use std::sync::Arc;
+
+use cornelridge_model::ident;
+use cornelridge_model::time;
+use cornelridge_store as store;
+use cornelridge_wire::identity;
+use cornelridge_wire::transport;
+use smol::net::TcpListener;
+use thiserror::Error;
+use tokio_util::sync::CancellationToken;
+
+use crate::announce;
+use crate::configuration;
+use crate::context;
+use crate::drain;
+use crate::executor;
+use crate::ingress;
+use crate::membership;
+use crate::metering;
+use crate::operators;
+use crate::oversight;
+use crate::peers;
+use crate::planning;
+use crate::serving;
+use crate::settings;
+
+/// Time that a leaving node gets to write that it has left.
+const FAREWELL_LIMIT: time::Duration = time::Duration::from_millis(500);
+
+/// A node that couldn't start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// A TCP address can't be bound.
+    #[error("can't listen on --{setting} {address}: {source}; choose a free address of this host")]
+    Listen {
+        /// Name of the setting.
+        setting: &'static str,
+        /// The address.
+        address: net::SocketAddr,
+        /// What the system reports.
+        source: std::io::Error,
+    },
+    /// The QUIC endpoint can't be opened.
+    #[error(transparent)]
+    Transport(#[from] transport::TransportError),
+    /// Certificates can't be used.
+    #[error(transparent)]
+    Identity(#[from] identity::IdentityError),
+    /// No identity for a local trial was given.
+    #[error("a local trial needs an identity in the process; give --tls-ca, --tls-certificate and --tls-key")]
+    NoIdentity,
+}
+
+/// A running node.
+pub struct NodeHandle {
+    context: Arc<context::NodeContext>,
+    drain_limit: time::Duration,
+    /// Where callers are served.
+    pub caller_address: net::SocketAddr,
+    /// Where other nodes are served.
+    pub peer_address: net::SocketAddr,
+    /// Where the upstream announces itself.
+    pub announce_address: net::SocketAddr,
+    /// Where operators are served.
+    pub operator_address: net::SocketAddr,
+}
+
+/// Reads the identity of a node from the files in its settings.
+pub fn read_identity(
+    settings: &settings::NodeSettings,
+) -> Result<identity::TlsIdentity, StartError> {
+    match &settings.trust {
+        settings::PeerTrust::TlsFiles { ca, certificate, key } => {
+            Ok(identity::TlsIdentity::from_pem_files(ca, certificate, key)?)
+        }
+        settings::PeerTrust::InsecureLocalTrial => Err(StartError::NoIdentity),
+    }
+}
+
+async fn listen(
+    setting: &'static str,
+    address: net::SocketAddr,
+) -> Result<(TcpListener, net::SocketAddr), StartError> {
+    let failed = |source| StartError::Listen { setting, address, source };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    Ok((listener, bound))
+}
+
+impl NodeHandle {
+    /// Binds all addresses and starts the tasks of the node.
+    pub async fn start(
+        settings: &settings::NodeSettings,
+        identity: identity::TlsIdentity,
+    ) -> Result<NodeHandle, StartError> {
+        let (callers, caller_address) = listen("caller-address", settings.caller_address).await?;
+        let (announcements, announce_address) =
+            listen("announce-address", settings.announce_address).await?;
+        let (overseers, operator_address) =
+            listen("operator-address", settings.operator_address).await?;
+        let endpoint = transport::NodeEndpoint::bind(transport::EndpointSettings {
+            listen: settings.peer_address,
+            identity,
+        })?;
+        let peer_address = endpoint.local_address();
+        let store = store::StoreClient::new(store::StoreSettings::new(settings.store_address));
+        let stop = CancellationToken::new();
+        let mut random = fastrand::Rng::new();
+        let context = Arc::new(context::NodeContext::new(context::ContextParts {
+            identity: context::NodeIdentity {
+                name: Arc::clone(&settings.node),
+                region: Arc::clone(&settings.region),
+                zone: Arc::clone(&settings.zone),
+                incarnation: ident::IncarnationId(random.u64(1..)),
+            },
+            executor: executor::NodeExecutor::new(stop.clone()),
+            endpoint,
+            store: Arc::new(store),
+            max_records: settings.limits.records,
+            advertised: settings.peer_advertised.unwrap_or(peer_address),
+            seed: random.u64(..),
+        }));
+        if let Err(error) = metering::install() {
+            log::warn!("no metrics: {error}");
+        }
+        let drain_limit = settings.drain_limit;
+        let handle = NodeHandle {
+            context,
+            drain_limit,
+            caller_address,
+            peer_address,
+            announce_address,
+            operator_address,
+        };
+        handle.spawn_tasks(callers, announcements);
+        let overseer = oversight::NodeOverseer::new(Arc::clone(&handle.context), drain_limit);
+        let token = settings.operator_token.clone();
+        let endpoint =
+            operators::OperatorEndpoint::new(&settings.node, token, Arc::new(overseer));
+        handle.context.executor.spawn(async move { endpoint.serve(overseers, stop).await });
+        Ok(handle)
+    }
+
+    fn spawn_tasks(&self, callers: TcpListener, announcements: TcpListener) {
+        let context = &self.context;
+        let executor = &context.executor;
+        let node = || Arc::clone(context);
+        executor.spawn(ingress::serve(node(), callers));
+        executor.spawn(announce::serve(node(), announcements));
+        executor.spawn(announce::watch(node()));
+        executor.spawn(peers::receive(node()));
+        executor.spawn(serving::run(node()));
+        executor.spawn(membership::run(node()));
+        executor.spawn(configuration::follow(node(), configuration::DocumentKind::Classes));
+        executor.spawn(configuration::follow(node(), configuration::DocumentKind::Assignment));
+        executor.spawn(planning::registration(node()));
+        executor.spawn(planning::run(node()));
+        planning::register(context);
+    }
+
+    /// Name of the node.
+    pub fn name(&self) -> &Arc<str> {
+        &self.context.identity.name
+    }
+
+    /// This run of the node.
+    pub fn incarnation(&self) -> ident::IncarnationId {
+        self.context.identity.incarnation
+    }
+
+    /// State shared by the tasks, for tests and the bench.
+    pub fn context(&self) -> &Arc<context::NodeContext> {
+        &self.context
+    }
+
+    /// Uses other certificates for new connections; requests on established ones go on.
+    pub fn reload_identity(&self, identity: &identity::TlsIdentity) {
+        self.context.endpoint.reload(identity);
+    }
+
+    /// Leaves: hands slices over, finishes requests in flight, then stops.
+    pub async fn leave(&self) {
+        drain::leave(&self.context, self.drain_limit).await;
+        planning::register(&self.context);
+        self.context.sleep(FAREWELL_LIMIT).await;
+        self.stop();
+        self.context.endpoint.wait_closed().await;
+    }
+
+    /// Stops at once, as if the process had been lost.
+    pub fn stop(&self) {
+        self.context.closing.cancel();
+        self.context.executor.stop().cancel();
+        self.context.endpoint.close();
+    }
+}
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -90,13 +90,15 @@
         _ => None,
     };
     let Some(versions) = versions else { return };
-    context.documents.note_peer(sender, versions.epoch, versions.revision);
+    context.documents.note_peer(context.clock.now(), sender, versions);
+    let classes = configuration::DocumentKind::Classes;
+    let assignment = configuration::DocumentKind::Assignment;
     let (epoch, revision) = context.documents.versions();
     if versions.epoch > epoch.0 {
-        configuration::pull(context, sender, generated::DocumentKind::DocumentAssignment);
+        configuration::heard(context, sender, assignment, versions.epoch);
     }
     if versions.revision > revision.0 {
-        configuration::pull(context, sender, generated::DocumentKind::DocumentClasses);
+        configuration::heard(context, sender, classes, versions.revision);
     }
 }
 
--- /dev/null
+++ b/crates/node/src/planning.rs
@@ -0,0 +1,374 @@
+//! Registration of this node, and the planner while this node holds its lease in the store.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cornelridge_control::acceptance;
+use cornelridge_control::liveness;
+use cornelridge_control::planner;
+use cornelridge_model::assignment;
+use cornelridge_model::ident;
+use cornelridge_model::key;
+use cornelridge_model::time;
+use cornelridge_store as store;
+use cornelridge_wire::document;
+use cornelridge_wire::generated;
+use futures_lite::FutureExt;
+use serde::{Deserialize, Serialize};
+
+use crate::configuration;
+use crate::context;
+use crate::peers;
+
+/// Interval of the planner's rounds; a leaving node is noticed within it.
+const ROUND: time::Duration = time::Duration::from_millis(250);
+/// Rounds between two renewals of the planner's lease.
+const LEASE_ROUNDS: u64 = 12;
+/// Time for which the planner's lease is taken.
+const LEASE_TTL: std::time::Duration = std::time::Duration::from_secs(10);
+/// Rounds between two collections of reports.
+const REPORT_ROUNDS: u64 = 2;
+/// Time within which a member must report.
+const REPORT_LIMIT: time::Duration = time::Duration::from_millis(400);
+/// Pause before a failed registration is tried again.
+const REGISTER_PAUSE: time::Duration = time::Duration::from_millis(300);
+
+/// What a node writes about itself under `nodes/REGION/NAME`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeRegistration {
+    /// The run of the process.
+    pub incarnation: ident::IncarnationId,
+    /// Address for QUIC between nodes.
+    pub address: std::net::SocketAddr,
+    /// Availability zone.
+    pub zone: Arc<str>,
+    /// Class of the upstream; empty without one.
+    pub class: Arc<str>,
+    /// Whether the upstream checks fence tokens.
+    pub checks_fences: bool,
+    /// Whether the node is leaving or has left.
+    pub leaving: bool,
+}
+
+/// Asks for the registration to be written again.
+pub(crate) fn register(context: &context::NodeContext) {
+    let _ = context.registration.0.try_send(());
+}
+
+/// Writes the registration whenever it has changed.
+pub(crate) async fn registration(context: Arc<context::NodeContext>) {
+    let key = registration_key(&context, &context.identity.name);
+    let mut written = None;
+    while context.registration.1.recv().await.is_ok() {
+        loop {
+            let wanted = own_registration(&context);
+            if written.as_ref() == Some(&wanted) {
+                break;
+            }
+            match write_registration(&context, &key, &wanted).await {
+                Ok(()) => written = Some(wanted),
+                Err(error) => {
+                    log::warn!("node not registered: {error}");
+                    context.sleep(REGISTER_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+fn registration_key(context: &context::NodeContext, name: &str) -> String {
+    format!("nodes/{}/{name}", context.identity.region)
+}
+
+fn own_registration(context: &context::NodeContext) -> NodeRegistration {
+    let link = context.any_upstream();
+    let announcement = link.as_ref().map(|link| &link.announcement);
+    NodeRegistration {
+        incarnation: context.identity.incarnation,
+        address: context.advertised,
+        zone: Arc::clone(&context.identity.zone),
+        class: announcement.map_or_else(|| Arc::from(""), |known| Arc::clone(&known.class)),
+        checks_fences: announcement.is_some_and(|known| known.checks_fences),
+        leaving: context.is_draining(),
+    }
+}
+
+async fn write_registration(
+    context: &context::NodeContext,
+    key: &str,
+    wanted: &NodeRegistration,
+) -> Result<(), store::StoreError> {
+    context.meter.store_call();
+    let current = context.store.get(key).await?;
+    let revision = current.map_or(store::StoreRevision(0), |value| value.revision);
+    let value = serde_json::to_vec(wanted).unwrap_or_default();
+    context.meter.store_call();
+    context.store.put(key, revision, Bytes::from(value)).await?;
+    Ok(())
+}
+
+/// Registrations by key, read again only when their revision has changed.
+#[derive(Debug, Default)]
+struct RegistrationCache {
+    entries: HashMap<Arc<str>, (store::StoreRevision, Option<NodeRegistration>)>,
+}
+
+impl RegistrationCache {
+    async fn refresh(&mut self, context: &context::NodeContext) -> Result<(), store::StoreError> {
+        let prefix = registration_key(context, "");
+        context.meter.store_call();
+        let listed = context.store.list(&prefix).await?;
+        self.entries.retain(|key, _| listed.iter().any(|entry| entry.key == *key));
+        for entry in listed {
+            let known = self.entries.get(&entry.key).map(|(revision, _)| *revision);
+            if known == Some(entry.revision) {
+                continue;
+            }
+            context.meter.store_call();
+            let Some(value) = context.store.get(&entry.key).await? else { continue };
+            let decoded = serde_json::from_slice(&value.value);
+            if let Err(error) = &decoded {
+                log::warn!("registration {} is ignored: {error}", entry.key);
+            }
+            self.entries.insert(entry.key, (value.revision, decoded.ok()));
+        }
+        Ok(())
+    }
+
+    /// Registered nodes without those that have left.
+    fn members(&self, context: &context::NodeContext) -> Vec<planner::MemberRegistration> {
+        let document = context.assignment();
+        let has_left = |entry: &NodeRegistration| {
+            let is_member = document.member_key(entry.incarnation).is_some();
+            entry.leaving && (!is_member || is_lost(context, entry.incarnation))
+        };
+        let known = self.entries.iter();
+        let known = known.filter_map(|(key, (_, entry))| Some((key, entry.as_ref()?)));
+        let known = known.filter(|(_, entry)| !has_left(entry));
+        let mut members: Vec<_> = known
+            .map(|(key, entry)| planner::MemberRegistration {
+                name: key.rsplit('/').next().unwrap_or_default().into(),
+                incarnation: entry.incarnation,
+                address: entry.address,
+                zone: Arc::clone(&entry.zone),
+                class: Arc::clone(&entry.class),
+                checks_fences: entry.checks_fences,
+            })
+            .collect();
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        members
+    }
+}
+
+/// Plans the region while this node holds the planner's lease.
+pub(crate) async fn run(context: Arc<context::NodeContext>) {
+    let mut role = PlannerRole::default();
+    for round in 0_u64.. {
+        context.sleep(ROUND).await;
+        if !configuration::is_relay(&context) || context.is_leaving() {
+            role.resign(&context).await;
+            continue;
+        }
+        if let Err(error) = role.round(&context, round).await {
+            log::warn!("planner: {error}");
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct PlannerRole {
+    planner: planner::Planner,
+    cache: RegistrationCache,
+    reports: HashMap<ident::IncarnationId, planner::MemberReport>,
+    expired: Vec<ident::LeaseId>,
+    held_until: Option<time::Instant>,
+}
+
+impl PlannerRole {
+    async fn round(
+        &mut self,
+        context: &Arc<context::NodeContext>,
+        round: u64,
+    ) -> Result<(), store::StoreError> {
+        if round.is_multiple_of(LEASE_ROUNDS) || self.held_until.is_none() && round % 4 == 0 {
+            self.renew(context).await?;
+        }
+        if self.held_until.is_none_or(|until| context.clock.now() >= until) {
+            return Ok(());
+        }
+        self.cache.refresh(context).await?;
+        if round.is_multiple_of(REPORT_ROUNDS) {
+            self.collect(context).await;
+        }
+        self.plan(context).await
+    }
+
+    async fn renew(&mut self, context: &context::NodeContext) -> Result<(), store::StoreError> {
+        let asked = context.clock.now();
+        let key = lease_key(context);
+        let holder = context.identity.incarnation.to_string();
+        context.meter.store_call();
+        let answer = context.store.acquire_lease(&key, &holder, LEASE_TTL).await?;
+        let is_held = answer == store::LeaseAnswer::Held;
+        if is_held && self.held_until.is_none() {
+            log::info!("this node plans region {}", context.identity.region);
+        }
+        let ttl = time::Duration(LEASE_TTL.as_micros() as u64);
+        self.held_until = is_held.then_some(asked + ttl);
+        Ok(())
+    }
+
+    async fn resign(&mut self, context: &context::NodeContext) {
+        if self.held_until.take().is_none() {
+            return;
+        }
+        let holder = context.identity.incarnation.to_string();
+        if let Err(error) = context.store.release_lease(&lease_key(context), &holder).await {
+            log::debug!("planner's lease not given back, it lapses: {error}");
+        }
+    }
+
+    /// Asks every member for its report.
+    async fn collect(&mut self, context: &Arc<context::NodeContext>) {
+        let document = context.assignment();
+        let members: Vec<_> = document.members.iter().map(|member| member.incarnation).collect();
+        let tasks: Vec<_> = members
+            .iter()
+            .map(|member| {
+                let (node, member) = (Arc::clone(context), *member);
+                smol::spawn(async move { fetch_report(&node, member).await })
+            })
+            .collect();
+        self.expired.clear();
+        for task in tasks {
+            if let Some((report, expired)) = task.await {
+                self.reports.insert(report.incarnation, report);
+                self.expired.extend(expired);
+            }
+        }
+        self.expired.sort_unstable();
+        self.expired.dedup();
+        self.reports.retain(|member, _| members.contains(member));
+    }
+
+    async fn plan(&mut self, context: &Arc<context::NodeContext>) -> Result<(), store::StoreError> {
+        let key = configuration::DocumentKind::Assignment.store_key(&context.identity.region);
+        let current = context.assignment();
+        let input = planner::PlannerInput {
+            current: (current.epoch.0 > 0).then(|| Arc::clone(&current)),
+            change_id: context.draw(),
+            registrations: self.cache.members(context),
+            reports: self.reports.values().cloned().collect(),
+            lost: context.liveness().lost(),
+            expired: self.expired.clone(),
+            retired: Vec::new(),
+            classes: (*context.classes()).clone(),
+        };
+        let Some(next) = self.planner.plan(context.clock.now(), &input) else { return Ok(()) };
+        context.meter.store_call();
+        let stored = context.store.get(&key).await?;
+        let revision = stored.as_ref().map_or(store::StoreRevision(0), |value| value.revision);
+        let stored_epoch = match &stored {
+            Some(value) => document::decode_assignment(&value.value).ok().map(|doc| doc.epoch),
+            None => Some(ident::EpochNumber(0)),
+        };
+        if stored_epoch != Some(current.epoch) {
+            // Another planner has written; its document arrives by the watch.
+            if let Some(value) = stored {
+                let source = acceptance::DocumentSource::Store;
+                let kind = configuration::DocumentKind::Assignment;
+                configuration::take(context, kind, value.value, source);
+            }
+            return Ok(());
+        }
+        self.write(context, &key, revision, &next).await
+    }
+
+    async fn write(
+        &mut self,
+        context: &Arc<context::NodeContext>,
+        key: &str,
+        revision: store::StoreRevision,
+        next: &assignment::AssignmentDocument,
+    ) -> Result<(), store::StoreError> {
+        let bytes = match document::encode_assignment(next) {
+            Ok(bytes) => Bytes::from(bytes),
+            Err(error) => {
+                log::error!("planned assignment not written: {error}");
+                return Ok(());
+            }
+        };
+        context.meter.store_call();
+        // A lost answer needs no care here: the next round reads the document back.
+        context.store.put(key, revision, bytes.clone()).await?;
+        log::info!("assignment epoch {} written", next.epoch);
+        let kind = configuration::DocumentKind::Assignment;
+        configuration::take(context, kind, bytes, acceptance::DocumentSource::Store);
+        Ok(())
+    }
+}
+
+fn lease_key(context: &context::NodeContext) -> String {
+    format!("planner/{}", context.identity.region)
+}
+
+async fn fetch_report(
+    context: &Arc<context::NodeContext>,
+    member: ident::IncarnationId,
+) -> Option<(planner::MemberReport, Vec<ident::LeaseId>)> {
+    if member == context.identity.incarnation {
+        return Some(report_from_wire(member, crate::report::status(context)));
+    }
+    let address = context.address_of(member)?;
+    let exchange = async {
+        let kind = Some(generated::stream_head::Kind::StatusFetch(generated::StatusFetch {}));
+        let head = generated::StreamHead { kind };
+        let (mut writer, mut reader) =
+            context.endpoint.open_stream_queued(address, &head).await.ok()?;
+        writer.finish().await.ok()?;
+        reader.receive_document::<generated::StatusAnswer>().await.ok()?
+    };
+    let late = async {
+        context.sleep(REPORT_LIMIT).await;
+        None
+    };
+    exchange.or(late).await.map(|answer| report_from_wire(member, answer))
+}
+
+fn report_from_wire(
+    member: ident::IncarnationId,
+    answer: generated::StatusAnswer,
+) -> (planner::MemberReport, Vec<ident::LeaseId>) {
+    let loads = answer.loads.into_iter().map(|load| planner::SliceLoad {
+        class: load.class.into(),
+        start: key::KeyHash(load.start),
+        rate: load.rate,
+    });
+    let hot_keys = answer.hot_keys.into_iter().map(|hot| planner::HotKey {
+        class: hot.class.into(),
+        hash: key::KeyHash(hot.hash),
+        rate: hot.rate,
+    });
+    let silent = answer.silent_guards.into_iter().map(ident::IncarnationId);
+    let expired = answer.expired.into_iter();
+    let expired = expired.filter_map(|lease| peers::lease_from_wire(Some(lease))).collect();
+    let report = planner::MemberReport {
+        incarnation: member,
+        epoch: ident::EpochNumber(answer.versions.map_or(0, |versions| versions.epoch)),
+        confirmed_epoch: ident::EpochNumber(answer.confirmed_epoch),
+        has_upstream: answer.has_upstream,
+        draining: answer.draining,
+        silent_guards: silent.collect(),
+        loads: loads.collect(),
+        hot_keys: hot_keys.collect(),
+    };
+    (report, expired)
+}
+
+/// Members that liveness holds lost, for the status page.
+pub(crate) fn is_lost(context: &context::NodeContext, member: ident::IncarnationId) -> bool {
+    member != context.identity.incarnation
+        && context.liveness().state(member) == liveness::PeerState::Lost
+}
--- /dev/null
+++ b/crates/node/src/report.rs
@@ -0,0 +1,48 @@
+//! The report that the planner collects from each member.
+
+use std::sync::Arc;
+
+use cornelridge_model::time;
+use cornelridge_wire::generated;
+use cornelridge_wire::transport;
+
+use crate::context;
+use crate::peers;
+
+/// Silence of a guard after which it is reported, so that the planner replaces it.
+const SILENT_GUARD: time::Duration = time::Duration::from_millis(1_000);
+
+/// The state of this node for the planner.
+pub(crate) fn status(context: &context::NodeContext) -> generated::StatusAnswer {
+    let now = context.clock.now();
+    let state = context.ownership().state();
+    let newest = state.leases.iter().max_by_key(|lease| lease.lease.generation);
+    let silent = newest.into_iter().flat_map(|lease| &lease.guards).filter(|guard| {
+        guard.refused || guard.acknowledgement_age.is_some_and(|age| age > SILENT_GUARD)
+    });
+    let load = context.loads.take(now);
+    generated::StatusAnswer {
+        versions: peers::versions(context),
+        confirmed_epoch: state.confirmed.0,
+        has_upstream: context.any_upstream().is_some(),
+        draining: context.is_draining(),
+        lease_held: state.leases.iter().any(|lease| lease.held),
+        store_seen: context.versions().has_seen_store(),
+        in_flight: context.requests.current() as u32,
+        loads: load.slices,
+        hot_keys: load.hot_keys,
+        silent_guards: silent.map(|guard| guard.guard.0).collect(),
+        expired: state.expired.iter().map(|expiry| peers::lease_to_wire(expiry.lease)).collect(),
+    }
+}
+
+/// Sends the report to the planner.
+pub(crate) async fn serve_status(
+    context: Arc<context::NodeContext>,
+    mut writer: transport::FrameWriter,
+) {
+    let answer = status(&context);
+    if writer.send_document(&answer).await.is_err() || writer.finish().await.is_err() {
+        log::debug!("report wasn't delivered");
+    }
+}
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -42,9 +42,9 @@
             ownership::OwnershipAction::Send { to, message } => {
                 peers::send(context, to, peers::from_ownership(context, message));
             }
-            ownership::OwnershipAction::FetchDocument { from, .. } => {
-                let kind = generated::DocumentKind::DocumentAssignment;
-                configuration::pull(context, from, kind);
+            ownership::OwnershipAction::FetchDocument { from, epoch } => {
+                let kind = configuration::DocumentKind::Assignment;
+                configuration::heard(context, from, kind, epoch.0);
             }
             ownership::OwnershipAction::CancelWork { work, class, reason, .. } => {
                 log::warn!("work on class {class} cancelled: {reason:?}");
@@ -197,6 +197,22 @@
     leases.map(|lease| document.holder(*lease).incarnation).collect()
 }
 
+/// Has the members probed in every round whose loss this node would have to notice.
+pub(crate) fn watch_predecessors(context: &context::NodeContext) {
+    let document = context.assignment();
+    let own = context.identity.incarnation;
+    let mut watched = Vec::new();
+    for slice in document.classes.iter().flat_map(|class| &class.slices) {
+        let holders = slice.chain.iter().map(|lease| document.holder(*lease).incarnation);
+        let holders: Vec<_> = holders.collect();
+        let Some(position) = holders.iter().position(|holder| *holder == own) else { continue };
+        watched.extend(&holders[..position]);
+    }
+    watched.sort_unstable();
+    watched.dedup();
+    context.liveness().set_watched(&watched);
+}
+
 /// Tells peers that this node gives its leases up for good.
 pub(crate) fn release(context: &Arc<context::NodeContext>) {
     let actions = context.ownership().release(context.clock.now());
--- a/crates/node/src/tenure.rs
+++ b/crates/node/src/tenure.rs
@@ -6,6 +6,7 @@
 use cornelridge_model::ident;
 use cornelridge_model::time;
 use cornelridge_ownership as ownership;
+use tokio_util::sync::CancellationToken;
 
 use crate::context;
 use crate::failure::{FailureKind, RequestFailure};
@@ -22,9 +23,20 @@
     ticket: Option<ownership::WorkTicket>,
     fence: ident::FenceToken,
     valid_until: time::Instant,
+    cancelled: CancellationToken,
 }
 
 impl TenureTicket {
+    fn new(context: &Arc<context::NodeContext>, ticket: ownership::WorkTicket) -> TenureTicket {
+        TenureTicket {
+            context: Arc::clone(context),
+            fence: ticket.fence,
+            valid_until: ticket.valid_until,
+            cancelled: context.track_work(ticket.work),
+            ticket: Some(ticket),
+        }
+    }
+
     /// Whether the lease still holds and the slice still belongs to this node.
     pub(crate) fn is_valid(&self) -> bool {
         let now = self.context.clock.now();
@@ -37,6 +49,11 @@
         self.fence
     }
 
+    /// Cancelled when the work has to end, for example because its slice was moved away.
+    pub(crate) fn cancelled(&self) -> &CancellationToken {
+        &self.cancelled
+    }
+
     /// When the lease ends unless it is renewed.
     pub(crate) fn valid_until(&self) -> time::Instant {
         self.valid_until
@@ -46,6 +63,7 @@
 impl Drop for TenureTicket {
     fn drop(&mut self) {
         if let Some(ticket) = self.ticket.take() {
+            self.context.forget_work(ticket.work);
             self.context.ownership().end(ticket);
         }
     }
@@ -61,16 +79,9 @@
     let give_up = context.clock.now() + MAX_GRANT_WAIT;
     loop {
         let now = context.clock.now();
-        let Some(slice) = context.locate(&head.class, hash) else {
-            let message = format!("class {} has no slices in this region yet", head.class);
-            return Err(RequestFailure::not_run(FailureKind::NoOwner, message));
-        };
-        let decision = context.ownership().begin(now, slice);
+        let decision = context.ownership().begin_key(now, &head.class, hash);
         match decision {
-            Ok((ticket, fence, valid_until)) => {
-                let context = Arc::clone(context);
-                return Ok(TenureTicket { context, ticket: Some(ticket), fence, valid_until });
-            }
+            Ok(ticket) => return Ok(TenureTicket::new(context, ticket)),
             Err(ownership::GrantDecision::Wait) if now < give_up => {
                 context.sleep(GRANT_PAUSE).await;
             }
