Add the store trait and its HTTP client

The process needs the platform's key-value service behind one boundary. StoreClient keeps up to four idle connections, limits each call in time, sends a request again only when nothing of it was written, and tells such a call from one whose answer was lost.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,1 +1,20 @@
-//! Client of the key-value service of the platform.
+//! Client of the platform's key-value service.
+//!
+//! [`api::ConfigStore`] is the boundary of the process; [`client::StoreClient`] speaks HTTP/1.1.
+//!
+//! ```
+//! use cornelridge_store::{api, client};
+//! use cornelridge_store::api::ConfigStore;
+//!
+//! let settings = client::StoreSettings::new("127.0.0.1:1".parse()?);
+//! let store = client::StoreClient::new(settings);
+//! let answer = futures_lite::future::block_on(store.get("classes"));
+//! assert!(matches!(answer, Err(api::StoreError::Unreachable { .. })));
+//! # Ok::<(), std::net::AddrParseError>(())
+//! ```
+
+pub mod api;
+pub mod client;
+
+mod parse;
+mod pool;
--- /dev/null
+++ b/crates/store/src/pool.rs
@@ -0,0 +1,162 @@
+//! Connections to the store, reused between calls.
+
+use std::net;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time;
+
+use bytes::Bytes;
+use futures_lite::future;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use smol_hyper::rt::FuturesIo;
+
+use crate::api::{MAX_VALUE_BYTES, StoreError};
+
+/// Idle connections that are kept; one for calls, one for a watch, and two in reserve.
+const MAX_IDLE: usize = 4;
+/// Most bytes in the answer to a listing, which may be longer than a value.
+pub(crate) const MAX_ANSWER_BYTES: usize = MAX_VALUE_BYTES;
+/// Most bytes in the header of an answer.
+const MAX_HEADER_BYTES: usize = 16 * 1024;
+
+pub(crate) type StoreRequest = http::Request<Full<Bytes>>;
+pub(crate) type StoreResponse = http::Response<Bytes>;
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// A failed exchange.
+enum ExchangeError {
+    /// Nothing was sent; the request is there to be sent again.
+    NotSent(Box<StoreRequest>, String),
+    Failed(StoreError),
+}
+
+/// Sends requests over connections that it keeps.
+#[derive(Debug)]
+pub(crate) struct ConnectionPool {
+    address: net::SocketAddr,
+    idle: Mutex<Vec<Sender>>,
+}
+
+impl ConnectionPool {
+    pub(crate) fn new(address: net::SocketAddr) -> ConnectionPool {
+        ConnectionPool { address, idle: Mutex::default() }
+    }
+
+    pub(crate) fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Makes one call within `limit`. On expiry the connection is closed, never reused.
+    pub(crate) async fn call(
+        &self,
+        request: StoreRequest,
+        limit: time::Duration,
+    ) -> Result<StoreResponse, StoreError> {
+        let sent = AtomicBool::new(false);
+        let expiry = async {
+            smol::Timer::after(limit).await;
+            let reason = format!("no answer within {} ms", limit.as_millis());
+            if sent.load(Ordering::Relaxed) {
+                return Err(StoreError::AnswerLost { reason });
+            }
+            Err(StoreError::Unreachable { reason })
+        };
+        future::or(self.exchange(request, &sent), expiry).await
+    }
+
+    async fn exchange(
+        &self,
+        mut request: StoreRequest,
+        sent: &AtomicBool,
+    ) -> Result<StoreResponse, StoreError> {
+        // A kept connection may have been closed by the store: go on to the next one.
+        while let Some(sender) = self.take() {
+            match self.send(sender, request, sent).await {
+                Ok(response) => return Ok(response),
+                Err(ExchangeError::NotSent(unsent, _)) => request = *unsent,
+                Err(ExchangeError::Failed(error)) => return Err(error),
+            }
+        }
+        let sender = self.connect().await?;
+        self.send(sender, request, sent).await.map_err(|error| match error {
+            ExchangeError::NotSent(_, reason) => StoreError::Unreachable { reason },
+            ExchangeError::Failed(error) => error,
+        })
+    }
+
+    async fn connect(&self) -> Result<Sender, StoreError> {
+        let unreachable = |reason| StoreError::Unreachable { reason };
+        let stream = smol::net::TcpStream::connect(self.address)
+            .await
+            .map_err(|error| unreachable(error.to_string()))?;
+        // Without this, small calls may wait for the acknowledgement of the one before.
+        stream.set_nodelay(true).map_err(|error| unreachable(error.to_string()))?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEADER_BYTES)
+            .handshake(FuturesIo::new(stream))
+            .await
+            .map_err(|error| unreachable(error.to_string()))?;
+        smol::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!(error:% = error; "connection to the store ended");
+            }
+        })
+        .detach();
+        Ok(sender)
+    }
+
+    async fn send(
+        &self,
+        mut sender: Sender,
+        request: StoreRequest,
+        sent: &AtomicBool,
+    ) -> Result<StoreResponse, ExchangeError> {
+        if let Err(error) = sender.ready().await {
+            return Err(ExchangeError::NotSent(Box::new(request), error.to_string()));
+        }
+        sent.store(true, Ordering::Relaxed);
+        let response = match sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut error) => {
+                let reason = error.error().to_string();
+                let Some(unsent) = error.take_message() else {
+                    return Err(lost(reason));
+                };
+                sent.store(false, Ordering::Relaxed);
+                return Err(ExchangeError::NotSent(Box::new(unsent), reason));
+            }
+        };
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await.map_err(|error| {
+            if error.is::<http_body_util::LengthLimitError>() {
+                let reason = format!("body exceeds {MAX_ANSWER_BYTES} bytes");
+                return ExchangeError::Failed(StoreError::Malformed { reason });
+            }
+            lost(error.to_string())
+        })?;
+        self.keep(sender);
+        Ok(http::Response::from_parts(head, body.to_bytes()))
+    }
+
+    fn take(&self) -> Option<Sender> {
+        let mut idle = self.idle();
+        idle.retain(|sender| !sender.is_closed());
+        idle.pop()
+    }
+
+    fn keep(&self, sender: Sender) {
+        let mut idle = self.idle();
+        if idle.len() < MAX_IDLE {
+            idle.push(sender);
+        }
+    }
+
+    fn idle(&self) -> MutexGuard<'_, Vec<Sender>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn lost(reason: String) -> ExchangeError {
+    ExchangeError::Failed(StoreError::AnswerLost { reason })
+}
--- /dev/null
+++ b/crates/store/tests/answers.rs
@@ -0,0 +1,84 @@
+//! Answers that don't follow the interface, as from another service on the store's address.
+
+#![allow(clippy::unwrap_used)]
+
+use cornelridge_store::api::{ConfigStore, StoreError, StoreRevision};
+use cornelridge_store::client;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+
+/// Answers one connection with fixed bytes and closes it.
+async fn answered_with(answer: &'static [u8]) -> client::StoreClient {
+    let listener = smol::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    smol::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut request = [0; 4_096];
+        let _ = stream.read(&mut request).await;
+        let _ = stream.write_all(answer).await;
+    })
+    .detach();
+    client::StoreClient::new(client::StoreSettings::new(address))
+}
+
+/// A value without a usable version must not be taken as a new version.
+#[test]
+fn a_value_without_a_revision_is_refused() {
+    smol::block_on(async {
+        for answer in [
+            &b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx"[..],
+            b"HTTP/1.1 200 OK\r\netag: abc\r\ncontent-length: 1\r\n\r\nx",
+            b"HTTP/1.1 200 OK\r\netag: 0\r\ncontent-length: 1\r\n\r\nx",
+            b"HTTP/1.1 200 OK\r\netag: -1\r\ncontent-length: 1\r\n\r\nx",
+        ] {
+            let store = answered_with(answer).await;
+            let error = store.get("classes").await.unwrap_err();
+            assert!(matches!(error, StoreError::Malformed { .. }), "{error}");
+            let store = answered_with(answer).await;
+            let error = store.put("classes", StoreRevision(1), "x".into()).await.unwrap_err();
+            assert!(error.may_have_taken_effect(), "{error}");
+        }
+    });
+}
+
+/// A listing that isn't one must be an error, not an empty list.
+#[test]
+fn a_malformed_listing_is_refused() {
+    smol::block_on(async {
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+        let error = answered_with(answer).await.list("nodes/").await.unwrap_err();
+        assert!(matches!(error, StoreError::Malformed { .. }), "{error}");
+    });
+}
+
+/// An answer that ends early or isn't HTTP must count as lost: the call may have taken effect.
+#[test]
+fn a_cut_answer_is_lost() {
+    smol::block_on(async {
+        for answer in [
+            &b""[..],
+            b"not HTTP at all\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\netag: 4\r\ncontent-length: 10\r\n\r\nx",
+        ] {
+            let store = answered_with(answer).await;
+            let error = store.put("classes", StoreRevision(1), "x".into()).await.unwrap_err();
+            if !answer.starts_with(b"HTTP") {
+                assert!(matches!(error, StoreError::AnswerLost { .. }), "{error}");
+            }
+            assert!(error.may_have_taken_effect(), "{error}");
+        }
+    });
+}
+
+/// A refusal must keep its status, and only one of the server side may hide an effect.
+#[test]
+fn a_refusal_keeps_its_status() {
+    smol::block_on(async {
+        let answer = b"HTTP/1.1 429 Too Many Requests\r\ncontent-length: 0\r\n\r\n";
+        let error = answered_with(answer).await.get("classes").await.unwrap_err();
+        assert_eq!(error, StoreError::Refused { status: 429 });
+        assert!(!error.may_have_taken_effect());
+        let answer = b"HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n";
+        let error = answered_with(answer).await.get("classes").await.unwrap_err();
+        assert!(error.may_have_taken_effect());
+    });
+}
