--- /dev/null
+++ b/crates/standin/src/host.rs
@@ -0,0 +1,117 @@
+//! Where stand-ins run: on a given executor or on a thread of their own.
+
+use std::convert::Infallible;
+use std::io;
+use std::net;
+use std::sync::Arc;
+use std::thread;
+
+use bytes::Bytes;
+use futures_lite::future;
+use http_body_util::combinators::BoxBody;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service;
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+use tokio_util::sync::CancellationToken;
+
+/// Body of an answer; an error in it cuts the answer off.
+pub(crate) type AnswerBody = BoxBody<Bytes, CutAnswer>;
+
+/// Ends a connection in the middle of an answer or instead of one.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("the stand-in was told to cut this answer")]
+pub(crate) struct CutAnswer;
+
+impl From<Infallible> for CutAnswer {
+    fn from(never: Infallible) -> CutAnswer {
+        match never {}
+    }
+}
+
+/// An executor on which stand-ins run; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct StandinHost {
+    executor: Arc<smol::Executor<'static>>,
+    _thread: Option<Arc<HostThread>>,
+}
+
+impl StandinHost {
+    /// Runs stand-ins on the given executor.
+    pub fn executor(executor: Arc<smol::Executor<'static>>) -> StandinHost {
+        StandinHost { executor, _thread: None }
+    }
+
+    /// Runs stand-ins on a new thread, which ends with the last clone of this host.
+    pub fn thread() -> io::Result<StandinHost> {
+        let executor = Arc::new(smol::Executor::new());
+        let cancel = CancellationToken::new();
+        let (runner, cancelled) = (Arc::clone(&executor), cancel.clone());
+        let thread = thread::Builder::new()
+            .name("standin".to_owned())
+            .spawn(move || smol::block_on(runner.run(cancelled.cancelled())))?;
+        let host_thread = HostThread { cancel, thread: Some(thread) };
+        Ok(StandinHost { executor, _thread: Some(Arc::new(host_thread)) })
+    }
+
+    /// Runs a task until it ends or `cancel` is cancelled.
+    pub(crate) fn spawn(
+        &self,
+        cancel: &CancellationToken,
+        task: impl Future<Output = ()> + Send + 'static,
+    ) {
+        let cancelled = cancel.clone().cancelled_owned();
+        self.executor.spawn(future::or(cancelled, task)).detach();
+    }
+}
+
+#[derive(Debug)]
+struct HostThread {
+    cancel: CancellationToken,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Drop for HostThread {
+    fn drop(&mut self) {
+        self.cancel.cancel();
+        let Some(thread) = self.thread.take() else { return };
+        // The last clone may be dropped by a task on this very thread.
+        if thread.thread().id() != thread::current().id() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Binds a TCP listener that may take over the port of a closed one.
+pub(crate) fn listen(address: net::SocketAddr) -> io::Result<smol::net::TcpListener> {
+    let listener = net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    smol::net::TcpListener::try_from(listener)
+}
+
+/// Serves HTTP/1.1 until `cancel` is cancelled, which also closes the connections.
+pub(crate) fn serve<S, F>(
+    host: &StandinHost,
+    cancel: &CancellationToken,
+    listener: smol::net::TcpListener,
+    service: S,
+) where
+    S: Fn(http::Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Result<http::Response<AnswerBody>, CutAnswer>> + Send + 'static,
+{
+    let (connection_host, connections) = (host.clone(), cancel.clone());
+    // The task must not keep the thread alive on which it runs.
+    let connection_host = StandinHost { _thread: None, ..connection_host };
+    host.spawn(cancel, async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let _ = stream.set_nodelay(true);
+            let service = service::service_fn(service.clone());
+            connection_host.spawn(&connections, async move {
+                let _ = http1::Builder::new()
+                    .timer(SmolTimer::new())
+                    .serve_connection(FuturesIo::new(stream), service)
+                    .await;
+            });
+        }
+    });
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,14 @@
-//! Stand-in store, upstreams and deployments for demo, bench and tests.
+//! Stand-in store, upstreams, callers and deployments for demo, bench and tests.
+//!
+//! Nothing here is shipped. Servers bind loopback addresses and stop when dropped.
+//!
+//! ```
+//! use cornelridge_standin::{host, store};
+//!
+//! let server = store::StoreServer::start(&host::StandinHost::thread()?)?;
+//! assert!(server.address().ip().is_loopback());
+//! # Ok::<(), std::io::Error>(())
+//! ```
+
+pub mod host;
+pub mod store;
