--- a/crates/node/src/settings/error.rs
+++ b/crates/node/src/settings/error.rs
@@ -68,12 +68,6 @@
     /// An argument that isn't a flag; it isn't shown, because it could be a secret.
     #[error("an argument is not a flag: put a flag before each value")]
     UnexpectedArgument,
-    /// The command line can't be read.
-    #[error("the command line can't be read ({problem}): correct the flag")]
-    CommandLine {
-        /// What the parser found.
-        problem: String,
-    },
 }
 
 fn variable_of(flag: &str) -> String {
--- a/crates/node/src/settings/source.rs
+++ b/crates/node/src/settings/source.rs
@@ -53,15 +53,11 @@
                 }
                 Ok(Some(lexopt::Arg::Long(name))) => format!("--{name}"),
                 Ok(Some(lexopt::Arg::Short(name))) => format!("-{name}"),
-                Ok(Some(lexopt::Arg::Value(_))) => {
+                // The parser's own error isn't shown either, because it contains the value.
+                Ok(Some(lexopt::Arg::Value(_))) | Err(_) => {
                     self.errors.push(settings::SettingsError::UnexpectedArgument);
                     continue;
                 }
-                Err(error) => {
-                    self.errors
-                        .push(settings::SettingsError::CommandLine { problem: error.to_string() });
-                    continue;
-                }
             };
             let is_flag =
                 |spec: &&settings::SettingSpec| name.strip_prefix("--") == Some(spec.flag);
