--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -13,6 +13,7 @@
 
 use crate::context;
 use crate::failure::{FailureKind, RequestFailure};
+use crate::peers;
 use crate::request;
 
 /// What a queued request is told.
@@ -117,7 +118,8 @@
     /// The whole answer was read.
     pub(crate) fn finished(self) {
         if let Some(dispatched) = self.dispatched.get() {
-            self.context.clear_suspect(*dispatched, self.fingerprint);
+            let cleared = self.context.suspects().completed(*dispatched, self.fingerprint);
+            peers::spread_suspects(&self.context, cleared.into_iter().collect());
         }
         self.set_end(SlotEnd::Finished);
     }
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -83,8 +83,8 @@
     {
         return;
     }
-    let starts_leaving = announcement.leaving
-        && current.as_ref().is_none_or(|link| !link.announcement.leaving);
+    let starts_leaving =
+        announcement.leaving && current.as_ref().is_none_or(|link| !link.announcement.leaving);
     let is_same = current.as_ref().is_some_and(|link| {
         let known = &link.announcement;
         known.address == announcement.address && known.class == announcement.class
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -17,13 +17,13 @@
 /// A body that did not arrive whole.
 #[derive(Clone, Debug, Error)]
 #[error("body was cut off: {detail}; send the request again if its outcome allows it")]
-pub struct BodyCutError {
+pub(crate) struct BodyCutError {
     /// What ended it.
-    pub detail: String,
+    pub(crate) detail: String,
 }
 
 /// Where the chunks of a body come from.
-pub enum BodySource {
+pub(crate) enum BodySource {
     /// No body.
     Empty,
     /// A whole body in memory.
@@ -38,7 +38,7 @@
 
 impl BodySource {
     /// The next chunk; `None` at the clean end only.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, BodyCutError> {
+    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, BodyCutError> {
         match mem::replace(self, BodySource::Empty) {
             BodySource::Empty => Ok(None),
             BodySource::Whole(data) => Ok(Some(data).filter(|data| !data.is_empty())),
@@ -64,7 +64,7 @@
     }
 
     /// A second source with the same bytes, if the body is in memory.
-    pub fn try_clone(&self) -> Option<BodySource> {
+    pub(crate) fn try_clone(&self) -> Option<BodySource> {
         match self {
             BodySource::Empty => Some(BodySource::Empty),
             BodySource::Whole(data) => Some(BodySource::Whole(data.clone())),
@@ -100,7 +100,7 @@
 }
 
 /// Reads a body of at most `limit` bytes into memory; a longer one stays a stream.
-pub async fn buffer_up_to(
+pub(crate) async fn buffer_up_to(
     mut incoming: body::Incoming,
     limit: usize,
 ) -> Result<BodySource, BodyCutError> {
@@ -118,7 +118,7 @@
 }
 
 /// Sends a body as frames and ends with a frame marked as the last one.
-pub async fn send_frames(
+pub(crate) async fn send_frames(
     chunks: &mut (impl BodyChunks + ?Sized),
     writer: &mut transport::FrameWriter,
 ) -> Result<(), BodyCutError> {
@@ -140,11 +140,9 @@
 }
 
 /// A body that is pulled chunk by chunk.
-pub trait BodyChunks: Send {
+pub(crate) trait BodyChunks: Send {
     /// The next chunk; `None` at the clean end only.
-    fn next_chunk(
-        &mut self,
-    ) -> impl Future<Output = Result<Option<Bytes>, BodyCutError>> + Send;
+    fn next_chunk(&mut self) -> impl Future<Output = Result<Option<Bytes>, BodyCutError>> + Send;
 }
 
 impl BodyChunks for BodySource {
@@ -154,10 +152,10 @@
 }
 
 /// The body type given to `hyper`.
-pub type HttpBody = http_body_util::combinators::BoxBody<Bytes, BodyCutError>;
+pub(crate) type HttpBody = http_body_util::combinators::UnsyncBoxBody<Bytes, BodyCutError>;
 
 /// Adapts a pulled body to `hyper`; an error ends the HTTP message visibly.
-pub fn to_http(chunks: impl BodyChunks + Sync + 'static) -> HttpBody {
+pub(crate) fn to_http(chunks: impl BodyChunks + 'static) -> HttpBody {
     let frames = stream::unfold(Some(chunks), |state| async {
         let mut chunks = state?;
         match chunks.next_chunk().await {
@@ -166,6 +164,6 @@
             Err(error) => Some((Err(error), None)),
         }
     });
-    let frames: pin::Pin<Box<dyn stream::Stream<Item = _> + Send + Sync>> = Box::pin(frames);
-    BodyExt::boxed(StreamBody::new(frames))
+    let frames: pin::Pin<Box<dyn stream::Stream<Item = _> + Send>> = Box::pin(frames);
+    BodyExt::boxed_unsync(StreamBody::new(frames))
 }
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -9,7 +9,7 @@
 use cornelridge_model::class;
 use cornelridge_model::ident;
 use cornelridge_model::time;
-use cornelridge_store as store;
+use cornelridge_store::api as store;
 use cornelridge_wire::document;
 use cornelridge_wire::generated;
 use cornelridge_wire::transport;
@@ -53,7 +53,7 @@
 
 /// Which versions to accept, by document.
 #[derive(Debug, Default)]
-pub struct VersionGates {
+pub(crate) struct VersionGates {
     classes: acceptance::VersionGate,
     assignment: acceptance::VersionGate,
 }
@@ -271,7 +271,8 @@
     let fetch = generated::DocumentFetch { kind: kind.to_wire() as i32 };
     let kind = Some(generated::stream_head::Kind::DocumentFetch(fetch));
     let head = generated::StreamHead { kind };
-    let (mut writer, mut reader) = context.endpoint.open_stream_queued(address, &head).await.ok()?;
+    let (mut writer, mut reader) =
+        context.endpoint.open_stream_queued(address, &head).await.ok()?;
     writer.finish().await.ok()?;
     let answer = reader.receive_document::<generated::DocumentAnswer>().await.ok()??;
     Some(Bytes::from(answer.document)).filter(|document| !document.is_empty())
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -16,7 +16,7 @@
 use cornelridge_policy::admission;
 use cornelridge_policy::quarantine;
 use cornelridge_records as records;
-use cornelridge_store as store;
+use cornelridge_store::api as store;
 use cornelridge_wire::transport;
 use smol::channel;
 use tokio_util::sync::CancellationToken;
@@ -39,52 +39,52 @@
 
 /// Who this node is.
 #[derive(Clone, Debug)]
-pub struct NodeIdentity {
+pub(crate) struct NodeIdentity {
     /// Name from the settings.
-    pub name: Arc<str>,
+    pub(crate) name: Arc<str>,
     /// Region from the settings.
-    pub region: Arc<str>,
+    pub(crate) region: Arc<str>,
     /// Availability zone from the settings.
-    pub zone: Arc<str>,
+    pub(crate) zone: Arc<str>,
     /// This run of the process.
-    pub incarnation: ident::IncarnationId,
+    pub(crate) incarnation: ident::IncarnationId,
 }
 
 /// The upstream while it is announced and responds.
 #[derive(Debug)]
-pub struct UpstreamLink {
+pub(crate) struct UpstreamLink {
     /// What it said about itself.
-    pub announcement: upstream::UpstreamAnnouncement,
+    pub(crate) announcement: upstream::UpstreamAnnouncement,
     /// Connections to it.
-    pub pool: upstream::ConnectionPool,
+    pub(crate) pool: upstream::ConnectionPool,
     /// Counts the times that the upstream came up.
-    pub instance: u64,
+    pub(crate) instance: u64,
 }
 
 /// State shared by the tasks of one node.
-pub struct NodeContext {
+pub(crate) struct NodeContext {
     /// Who this node is.
-    pub identity: NodeIdentity,
+    pub(crate) identity: NodeIdentity,
     /// The clock of the process.
-    pub clock: clock::MonotonicClock,
+    pub(crate) clock: clock::MonotonicClock,
     /// Runs the tasks.
-    pub executor: executor::NodeExecutor,
+    pub(crate) executor: executor::NodeExecutor,
     /// Cancelled when the node stops accepting callers.
-    pub closing: CancellationToken,
+    pub(crate) closing: CancellationToken,
     /// QUIC endpoint for the other nodes.
-    pub endpoint: transport::NodeEndpoint,
+    pub(crate) endpoint: transport::NodeEndpoint,
     /// The store of the platform.
-    pub store: Arc<dyn store::ConfigStore>,
+    pub(crate) store: Arc<dyn store::ConfigStore>,
     /// Documents in force.
-    pub documents: documents::DocumentCache,
+    pub(crate) documents: documents::DocumentCache,
     /// Requests in flight at this node.
-    pub requests: InFlightCounter,
+    pub(crate) requests: InFlightCounter,
     /// Connections of callers.
-    pub caller_connections: InFlightCounter,
+    pub(crate) caller_connections: InFlightCounter,
     /// Retry budgets, hedging and latency by class.
-    pub policies: policies::PolicyTable,
+    pub(crate) policies: policies::PolicyTable,
     /// Workers by class.
-    pub workers: workers::WorkerTable,
+    pub(crate) workers: workers::WorkerTable,
     /// Request rates of slices and keys.
     pub(crate) loads: loads::LoadCounter,
     /// Address that other nodes use.
@@ -94,7 +94,7 @@
     /// Earlier class configurations, for explaining conflicts.
     pub(crate) history: sync::Mutex<operators::ClassHistory>,
     /// Metrics.
-    pub meter: meter::NodeMeter,
+    pub(crate) meter: meter::NodeMeter,
     machine: sync::Mutex<ownership::OwnershipMachine>,
     records: sync::Mutex<records::RecordTable>,
     gate: sync::Mutex<gate_admission::GateQueue>,
@@ -277,8 +277,7 @@
 
     /// Whether the node or its upstream is leaving.
     pub(crate) fn is_draining(&self) -> bool {
-        self.is_leaving()
-            || self.any_upstream().is_some_and(|link| link.announcement.leaving)
+        self.is_leaving() || self.any_upstream().is_some_and(|link| link.announcement.leaving)
     }
 
     /// Starts to leave; `false` if it has started before.
@@ -352,13 +351,13 @@
 
 /// Counts what is in flight; cheap to clone.
 #[derive(Clone, Debug, Default)]
-pub struct InFlightCounter {
+pub(crate) struct InFlightCounter {
     count: Arc<atomic::AtomicUsize>,
 }
 
 /// One unit in flight, until it is dropped.
 #[derive(Debug)]
-pub struct InFlight {
+pub(crate) struct InFlight {
     count: Arc<atomic::AtomicUsize>,
 }
 
@@ -376,7 +375,7 @@
     }
 
     /// Units in flight.
-    pub fn current(&self) -> usize {
+    pub(crate) fn current(&self) -> usize {
         self.count.load(atomic::Ordering::Relaxed)
     }
 }
--- a/crates/node/src/documents.rs
+++ b/crates/node/src/documents.rs
@@ -27,47 +27,47 @@
 
 /// The versions that a peer last told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PeerVersions {
+pub(crate) struct PeerVersions {
     /// Its epoch.
-    pub epoch: ident::EpochNumber,
+    pub(crate) epoch: ident::EpochNumber,
     /// Its configuration revision.
-    pub revision: ident::RevisionNumber,
+    pub(crate) revision: ident::RevisionNumber,
 }
 
 /// Keeps the highest versions with their encoded form, which peers fetch.
 #[derive(Debug, Default)]
-pub struct DocumentCache {
+pub(crate) struct DocumentCache {
     state: sync::Mutex<DocumentState>,
 }
 
 impl DocumentCache {
     /// The classes in force.
-    pub fn classes(&self) -> Arc<class::ClassDocument> {
+    pub(crate) fn classes(&self) -> Arc<class::ClassDocument> {
         Arc::clone(&lock(&self.state).classes)
     }
 
     /// The assignment in force.
-    pub fn assignment(&self) -> Arc<assignment::AssignmentDocument> {
+    pub(crate) fn assignment(&self) -> Arc<assignment::AssignmentDocument> {
         Arc::clone(&lock(&self.state).assignment)
     }
 
     /// Address of a member.
-    pub fn address_of(&self, member: ident::IncarnationId) -> Option<net::SocketAddr> {
+    pub(crate) fn address_of(&self, member: ident::IncarnationId) -> Option<net::SocketAddr> {
         lock(&self.state).addresses.get(&member).copied()
     }
 
     /// The encoded classes.
-    pub fn classes_bytes(&self) -> Bytes {
+    pub(crate) fn classes_bytes(&self) -> Bytes {
         lock(&self.state).classes_bytes.clone()
     }
 
     /// The encoded assignment.
-    pub fn assignment_bytes(&self) -> Bytes {
+    pub(crate) fn assignment_bytes(&self) -> Bytes {
         lock(&self.state).assignment_bytes.clone()
     }
 
     /// Versions in force.
-    pub fn versions(&self) -> (ident::EpochNumber, ident::RevisionNumber) {
+    pub(crate) fn versions(&self) -> (ident::EpochNumber, ident::RevisionNumber) {
         let state = lock(&self.state);
         (state.assignment.epoch, state.classes.revision)
     }
@@ -99,7 +99,7 @@
     }
 
     /// Puts classes in force; `false` if their revision isn't higher.
-    pub fn put_classes(&self, classes: Arc<class::ClassDocument>, bytes: Bytes) -> bool {
+    pub(crate) fn put_classes(&self, classes: Arc<class::ClassDocument>, bytes: Bytes) -> bool {
         let mut state = lock(&self.state);
         if classes.revision <= state.classes.revision {
             return false;
@@ -110,7 +110,7 @@
     }
 
     /// Puts an assignment in force; `false` if its epoch isn't higher.
-    pub fn put_assignment(
+    pub(crate) fn put_assignment(
         &self,
         document: Arc<assignment::AssignmentDocument>,
         bytes: Bytes,
--- a/crates/node/src/execution.rs
+++ b/crates/node/src/execution.rs
@@ -97,9 +97,7 @@
 }
 
 /// The answer for a request that was executed, or may have been executed, before.
-fn earlier(
-    decision: records::RecordDecision,
-) -> Result<request::RequestAnswer, RequestFailure> {
+fn earlier(decision: records::RecordDecision) -> Result<request::RequestAnswer, RequestFailure> {
     match decision {
         records::RecordDecision::Stored(answer) => Ok(stored_answer(answer)),
         records::RecordDecision::InFlight => {
@@ -163,12 +161,12 @@
         records::RecordDecision::Replicate { record, to } => (record, to),
         other => return earlier(other).map(ExecutionStart::Stored),
     };
-    let execution =
-        ExecutionRecord { context: Arc::clone(context), id, is_open: true };
+    let execution = ExecutionRecord { context: Arc::clone(context), id, is_open: true };
     let record = Arc::new(record);
     let copies = to.into_iter().map(|peer| {
         let record = Arc::clone(&record);
-        Box::pin(copy_to(context, head, class, record, peer))
+        let copy: CopyFuture<'_> = Box::pin(copy_to(context, head, class, record, peer));
+        copy
     });
     let mut progress = records::CopyProgress::Waiting;
     let mut replies = join_all(copies.collect());
@@ -187,8 +185,7 @@
     Err(RequestFailure::not_run(FailureKind::RecordsUnavailable, message))
 }
 
-type CopyFuture<'a> =
-    std::pin::Pin<Box<dyn Future<Output = records::CopyProgress> + Send + 'a>>;
+type CopyFuture<'a> = std::pin::Pin<Box<dyn Future<Output = records::CopyProgress> + Send + 'a>>;
 
 /// Yields the results of all futures in the order in which they end.
 fn join_all<'a>(
--- a/crates/node/src/executor.rs
+++ b/crates/node/src/executor.rs
@@ -7,23 +7,23 @@
 /// Spawns tasks on the global executor of `smol`, which has one thread unless `SMOL_THREADS` says
 /// otherwise; cheap to clone.
 #[derive(Clone, Debug)]
-pub struct NodeExecutor {
+pub(crate) struct NodeExecutor {
     stop: CancellationToken,
 }
 
 impl NodeExecutor {
     /// Tasks run until `stop` is cancelled.
-    pub fn new(stop: CancellationToken) -> NodeExecutor {
+    pub(crate) fn new(stop: CancellationToken) -> NodeExecutor {
         NodeExecutor { stop }
     }
 
     /// The token that ends all tasks.
-    pub fn stop(&self) -> &CancellationToken {
+    pub(crate) fn stop(&self) -> &CancellationToken {
         &self.stop
     }
 
     /// Runs a task in the background until it ends or the node stops.
-    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+    pub(crate) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         let stop = self.stop.clone();
         smol::spawn(task.or(async move { stop.cancelled().await })).detach();
     }
--- a/crates/node/src/failure.rs
+++ b/crates/node/src/failure.rs
@@ -10,7 +10,7 @@
 
 /// Why a request got no answer from an upstream.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
-pub enum FailureKind {
+pub(crate) enum FailureKind {
     /// A header, the path or a length isn't usable.
     #[display("bad-request")]
     BadRequest,
@@ -95,7 +95,7 @@
     }
 
     /// What the caller can do about it.
-    pub fn remedy(self) -> &'static str {
+    pub(crate) fn remedy(self) -> &'static str {
         match self {
             FailureKind::BadRequest => "correct the request; docs/operators.md lists the limits",
             FailureKind::UnknownClass => {
@@ -142,15 +142,15 @@
 /// A request that ended without an answer from an upstream.
 #[derive(Clone, Debug, Error)]
 #[error("{kind} ({result}): {message}")]
-pub struct RequestFailure {
+pub(crate) struct RequestFailure {
     /// Why.
-    pub kind: FailureKind,
+    pub(crate) kind: FailureKind,
     /// Whether an upstream executed the request.
-    pub result: outcome::RequestOutcome,
+    pub(crate) result: outcome::RequestOutcome,
     /// What happened, for the caller.
-    pub message: String,
+    pub(crate) message: String,
     /// Highest epoch known to the node that refused; 0 if it doesn't matter.
-    pub epoch: ident::EpochNumber,
+    pub(crate) epoch: ident::EpochNumber,
 }
 
 #[derive(Serialize)]
@@ -163,17 +163,17 @@
 
 impl RequestFailure {
     /// A failure before any byte reached an upstream.
-    pub fn not_run(kind: FailureKind, message: impl Into<String>) -> RequestFailure {
+    pub(crate) fn not_run(kind: FailureKind, message: impl Into<String>) -> RequestFailure {
         RequestFailure::new(kind, outcome::RequestOutcome::NotRun, message)
     }
 
     /// A failure after the upstream may have started.
-    pub fn unknown(kind: FailureKind, message: impl Into<String>) -> RequestFailure {
+    pub(crate) fn unknown(kind: FailureKind, message: impl Into<String>) -> RequestFailure {
         RequestFailure::new(kind, outcome::RequestOutcome::Unknown, message)
     }
 
     /// A failure with the given outcome.
-    pub fn new(
+    pub(crate) fn new(
         kind: FailureKind,
         result: outcome::RequestOutcome,
         message: impl Into<String>,
@@ -182,7 +182,7 @@
     }
 
     /// Whether another node may be able to serve the request.
-    pub fn is_local_to_node(&self) -> bool {
+    pub(crate) fn is_local_to_node(&self) -> bool {
         match self.kind {
             FailureKind::NotReady
             | FailureKind::NotOwner
@@ -206,12 +206,12 @@
     }
 
     /// The HTTP status for the caller.
-    pub fn status(&self) -> StatusCode {
+    pub(crate) fn status(&self) -> StatusCode {
         self.kind.status(self.result)
     }
 
     /// The JSON body for the caller.
-    pub fn to_json(&self) -> Vec<u8> {
+    pub(crate) fn to_json(&self) -> Vec<u8> {
         let body = FailureBody {
             error: self.kind.to_string(),
             outcome: self.result,
@@ -222,7 +222,7 @@
     }
 
     /// The message for the node that forwarded the request.
-    pub fn to_wire(&self) -> generated::ResponseError {
+    pub(crate) fn to_wire(&self) -> generated::ResponseError {
         generated::ResponseError {
             outcome: wire_outcome(self.result) as i32,
             kind: self.kind.to_string(),
@@ -235,7 +235,7 @@
     }
 
     /// Reads the answer of another node.
-    pub fn from_wire(error: generated::ResponseError) -> RequestFailure {
+    pub(crate) fn from_wire(error: generated::ResponseError) -> RequestFailure {
         let result = match generated::Outcome::try_from(error.outcome) {
             Ok(generated::Outcome::NotRun) => outcome::RequestOutcome::NotRun,
             Ok(generated::Outcome::Run) => outcome::RequestOutcome::Run,
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -8,6 +8,7 @@
 use cornelridge_model::ident;
 use cornelridge_model::outcome;
 use cornelridge_model::time;
+use cornelridge_policy::retry;
 use cornelridge_wire::generated;
 use cornelridge_wire::transport;
 use futures_lite::FutureExt;
@@ -18,7 +19,9 @@
 use crate::failure::{FailureKind, RequestFailure};
 use crate::gate;
 use crate::headers;
+use crate::policies;
 use crate::request;
+use crate::workers;
 
 /// Pause before the members of a chain are asked again while none of them serves the key.
 const OWNER_PAUSE: time::Duration = time::Duration::from_millis(15);
@@ -30,7 +33,7 @@
     /// Nobody serves the key yet; ask again after a pause.
     Pause,
     /// Repeat on another worker, at the cost of the retry budget.
-    Retry,
+    Retry { delay: time::Duration },
     /// Report the failure.
     Report,
 }
@@ -46,7 +49,7 @@
         let message = format!("class {:?} does not exist", head.class);
         return Err(RequestFailure::not_run(FailureKind::UnknownClass, message));
     };
-    context.retries.note_request(context.clock.now());
+    context.policies.started(context.clock.now(), class);
     let mut route = RoutePlan::new(class.is_sliced());
     loop {
         let copy = source.try_clone();
@@ -66,7 +69,10 @@
         match next_step(context, &mut route, &head, class, &failure) {
             NextStep::Redirect => {}
             NextStep::Pause => context.sleep(OWNER_PAUSE).await,
-            NextStep::Retry => context.meter.retried(&head.class),
+            NextStep::Retry { delay } => {
+                context.meter.retried(&head.class);
+                context.sleep(delay).await;
+            }
             NextStep::Report => return Err(failure),
         }
         head.attempt += 1;
@@ -84,25 +90,36 @@
     if !failure.is_local_to_node() {
         return NextStep::Report;
     }
-    let is_search = matches!(failure.kind, FailureKind::NotOwner | FailureKind::NoOwner)
-        || (class.is_sliced() && failure.result.is_safe_to_repeat() && is_unserved(failure.kind));
+    let is_not_run = failure.result.is_safe_to_repeat();
+    let is_search = class.is_sliced() && is_not_run && is_unserved(failure.kind);
+    if !class.is_sliced() && is_not_run && failure.kind == FailureKind::Draining {
+        return NextStep::Redirect;
+    }
     if is_search {
         // Finding the owner costs no work at an upstream, so it isn't charged to the budget.
         return if route.has_more() { NextStep::Redirect } else { NextStep::Pause };
     }
-    let may_repeat = failure.result.is_safe_to_repeat() || class.idempotent;
+    let attempt = policies::AttemptFailure {
+        class,
+        failure,
+        attempts: head.attempt + 1,
+        deadline: head.deadline,
+        other_worker: !class.is_sliced(),
+    };
     let now = context.clock.now();
-    if may_repeat && context.retries.allow(now, head.attempt, head.deadline) {
-        return NextStep::Retry;
+    match context.policies.decide(now, &attempt, &mut context.random()) {
+        retry::RetryDecision::Retry { delay } => NextStep::Retry { delay },
+        retry::RetryDecision::Answer(_) => NextStep::Report,
     }
-    NextStep::Report
 }
 
 /// Whether the node asked can't serve any request at the moment.
 fn is_unserved(kind: FailureKind) -> bool {
     matches!(
         kind,
-        FailureKind::NotReady
+        FailureKind::NotOwner
+            | FailureKind::NoOwner
+            | FailureKind::NotReady
             | FailureKind::PeerLost
             | FailureKind::UpstreamLost
             | FailureKind::LeaseExpired
@@ -141,7 +158,9 @@
         class: &class::ClassConfig,
     ) -> Option<ident::IncarnationId> {
         if !self.is_sliced {
-            let chosen = context.choose_worker(&head.class, &self.tried);
+            let now = context.clock.now();
+            let mut random = context.random();
+            let chosen = context.workers.choose(now, &head.class, &self.tried, &mut random);
             self.tried.extend(chosen);
             return chosen;
         }
@@ -161,12 +180,16 @@
     target: ident::IncarnationId,
 ) -> Result<request::RequestAnswer, RequestFailure> {
     let started = context.clock.now();
-    let flight = context.worker_flight(&head.class, target, class.is_sliced());
+    let flight = workers::WorkerFlight::start(context, &head.class, target, class.is_sliced());
     let result = match target == context.identity.incarnation {
         true => gate::handle(context, head.clone(), source).await,
         false => send(context, head, source, target).await,
     };
-    flight.finish(context, started, &result);
+    flight.finish(&result);
+    let now = context.clock.now();
+    if result.is_ok() {
+        context.policies.answered(now, class, now.since(started));
+    }
     result
 }
 
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -109,7 +109,7 @@
     head: request::RequestHead,
     class: &class::ClassConfig,
     source: node_body::BodySource,
-    mut admitted: AdmittedRequest,
+    admitted: AdmittedRequest,
 ) -> Result<request::RequestAnswer, RequestFailure> {
     let pool = &admitted.upstream.pool;
     let mut source = Some(source);
@@ -317,7 +317,7 @@
 }
 
 /// What ends together with an answer: slot, ownership ticket, record and connection.
-pub struct AnswerCompletion {
+pub(crate) struct AnswerCompletion {
     context: Arc<context::NodeContext>,
     admitted: Option<AdmittedRequest>,
     connection: Option<upstream::UpstreamConnection>,
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -5,25 +5,25 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 
 /// Key of a request of a class that is divided by key.
-pub const KEY: &str = "cornelridge-key";
+pub(crate) const KEY: &str = "cornelridge-key";
 /// Names one execution of a non-idempotent request.
-pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// Time that the caller allows, or that is left for the upstream, in milliseconds.
-pub const DEADLINE: &str = "cornelridge-deadline-ms";
+pub(crate) const DEADLINE: &str = "cornelridge-deadline-ms";
 /// Name by which the load of a caller is counted.
-pub const CALLER: &str = "cornelridge-caller";
+pub(crate) const CALLER: &str = "cornelridge-caller";
 /// Outcome of a request that failed.
-pub const OUTCOME: &str = "cornelridge-outcome";
+pub(crate) const OUTCOME: &str = "cornelridge-outcome";
 /// Identifies one request to an upstream.
-pub const REQUEST_ID: &str = "cornelridge-request-id";
+pub(crate) const REQUEST_ID: &str = "cornelridge-request-id";
 /// Fence token of the grant under which a request is sent to an upstream.
-pub const FENCE: &str = "cornelridge-fence";
+pub(crate) const FENCE: &str = "cornelridge-fence";
 /// Time left of the lease, in milliseconds.
-pub const LEASE: &str = "cornelridge-lease-ms";
+pub(crate) const LEASE: &str = "cornelridge-lease-ms";
 /// Set by an upstream that refuses a request without running it.
-pub const REFUSED: &str = "cornelridge-refused";
+pub(crate) const REFUSED: &str = "cornelridge-refused";
 /// Node that served the request.
-pub const SERVED_BY: &str = "cornelridge-served-by";
+pub(crate) const SERVED_BY: &str = "cornelridge-served-by";
 
 /// Headers that belong to one connection and are never passed on.
 const HOP_BY_HOP: [HeaderName; 9] = [
@@ -60,7 +60,7 @@
 }
 
 /// The headers of a message that go on to the next hop.
-pub fn to_wire(headers: &HeaderMap) -> Vec<generated::Header> {
+pub(crate) fn to_wire(headers: &HeaderMap) -> Vec<generated::Header> {
     let options = connection_options(headers);
     headers
         .iter()
@@ -73,7 +73,7 @@
 }
 
 /// Headers from another node; malformed ones are left out.
-pub fn from_wire(headers: &[generated::Header]) -> HeaderMap {
+pub(crate) fn from_wire(headers: &[generated::Header]) -> HeaderMap {
     let mut map = HeaderMap::with_capacity(headers.len());
     for entry in headers {
         let name = HeaderName::from_bytes(entry.name.as_bytes());
@@ -88,12 +88,12 @@
 }
 
 /// Sets a header to a number.
-pub fn set_number(headers: &mut HeaderMap, name: &'static str, value: u64) {
+pub(crate) fn set_number(headers: &mut HeaderMap, name: &'static str, value: u64) {
     headers.insert(HeaderName::from_static(name), HeaderValue::from(value));
 }
 
 /// Sets a header to a text; text that isn't valid in a header is left out.
-pub fn set_text(headers: &mut HeaderMap, name: &'static str, value: &str) {
+pub(crate) fn set_text(headers: &mut HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         headers.insert(HeaderName::from_static(name), value);
     }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -20,6 +20,7 @@
 use crate::failure::{FailureKind, RequestFailure};
 use crate::forward;
 use crate::headers;
+use crate::meter;
 use crate::request;
 
 /// Largest header block of a request, in bytes.
@@ -125,17 +126,18 @@
         }
         Err(failure) => Err(failure),
     };
-    let meter = context.meter.request(class, started);
+    let measured = context.meter.request(class, started);
     match result {
         Ok(answer) => {
-            let body = MeteredBody { body: answer.body, meter: Some(meter), _in_flight: in_flight };
+            let body =
+                MeteredBody { body: answer.body, meter: Some(measured), _in_flight: in_flight };
             let mut response = Response::new(node_body::to_http(body));
             *response.status_mut() = answer.status;
             *response.headers_mut() = answer.headers;
             response
         }
         Err(failure) => {
-            meter.failed(context.clock.now(), &failure);
+            measured.failed(&failure);
             failure_response(&failure)
         }
     }
@@ -232,10 +234,7 @@
 }
 
 /// Splits a path into the class and the path for the upstream.
-fn split_path<'a>(
-    path: &'a str,
-    query: Option<&str>,
-) -> Result<(&'a str, String), RequestFailure> {
+fn split_path<'a>(path: &'a str, query: Option<&str>) -> Result<(&'a str, String), RequestFailure> {
     let rest = path.strip_prefix('/').unwrap_or(path);
     let (class_name, rest) = rest.split_once('/').unwrap_or((rest, ""));
     let path = match query {
@@ -258,10 +257,7 @@
     })
 }
 
-fn deadline(
-    map: &HeaderMap,
-    class: &class::ClassConfig,
-) -> Result<time::Duration, RequestFailure> {
+fn deadline(map: &HeaderMap, class: &class::ClassConfig) -> Result<time::Duration, RequestFailure> {
     let Some(value) = map.get(headers::DEADLINE) else { return Ok(class.deadline()) };
     let millis = value.to_str().ok().and_then(|text| text.parse::<u64>().ok());
     match millis {
@@ -278,7 +274,7 @@
 /// Counts a request as in flight until its answer has been read or dropped.
 struct MeteredBody {
     body: request::AnswerBody,
-    meter: Option<context::RequestMeter>,
+    meter: Option<meter::RequestMeter>,
     _in_flight: context::InFlight,
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,49 @@
 //! The node process: router and gate beside one upstream.
+//!
+//! A node accepts callers' requests, finds the node that may serve each one, and is the only way
+//! to the upstream on its own host.
+//!
+//! ```
+//! use cornelridge::settings;
+//!
+//! let flags = ["--help"].map(std::ffi::OsString::from);
+//! let outcome = settings::NodeSettings::load(flags, []);
+//! assert!(matches!(outcome, Ok(settings::SettingsOutcome::Print(_))));
+//! ```
 
+mod admission;
+mod announce;
+mod body;
+mod clock;
+mod configuration;
+mod context;
+mod documents;
+mod drain;
+mod dump;
+mod egress;
+mod execution;
+mod executor;
+mod failure;
+mod forward;
+mod gate;
+mod headers;
+mod ingress;
+mod loads;
 pub mod logs;
+mod membership;
+mod meter;
 pub mod metering;
+pub mod node;
 pub mod operators;
+mod oversight;
+mod peers;
+mod planning;
+mod policies;
+mod replication;
+mod report;
+mod request;
+mod serving;
 pub mod settings;
+mod tenure;
+mod upstream;
+mod workers;
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -87,11 +87,12 @@
 
 /// Answers a probe.
 pub(crate) fn answer(
-    context: &context::NodeContext,
+    context: &Arc<context::NodeContext>,
     from: ident::IncarnationId,
     probe: &generated::Probe,
 ) {
-    context.liveness().heard(context.clock.now(), from);
+    let actions = context.liveness().heard(context.clock.now(), from);
+    apply(context, actions);
     send_ack(context, from, probe.nonce, context.identity.incarnation);
 }
 
@@ -103,7 +104,7 @@
 ) {
     let now = context.clock.now();
     let target = ident::IncarnationId(ack.target);
-    let actions = context.liveness().acked(now, from, ack.nonce, target);
+    let actions = context.liveness().on_ack(now, from, ack.nonce, target);
     apply(context, actions);
     let actions = context.ownership().peer_heard(now, target);
     serving::apply(context, actions);
@@ -117,6 +118,6 @@
 ) {
     let now = context.clock.now();
     let target = ident::IncarnationId(relay.target);
-    let actions = context.liveness().relay(now, from, target, relay.nonce);
-    apply(context, actions);
+    let actions = context.liveness().on_relay(now, from, relay.nonce, target);
+    apply(context, actions.into_iter().collect());
 }
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -12,7 +12,7 @@
 
 /// Records the metrics of one node.
 #[derive(Clone, Debug)]
-pub struct NodeMeter {
+pub(crate) struct NodeMeter {
     node: Arc<str>,
     clock: clock::MonotonicClock,
     serving: Arc<atomic::AtomicI64>,
@@ -89,7 +89,7 @@
 
 /// Measures one request of a caller.
 #[derive(Debug)]
-pub struct RequestMeter {
+pub(crate) struct RequestMeter {
     meter: NodeMeter,
     class: Arc<str>,
     started: time::Instant,
@@ -120,7 +120,8 @@
     pub(crate) fn failed(self, failure: &failure::RequestFailure) {
         let node = Arc::clone(&self.meter.node);
         let class = Arc::clone(&self.class);
-        let labels = [("node", node), ("class", class), ("reason", failure.kind.to_string().into())];
+        let labels =
+            [("node", node), ("class", class), ("reason", failure.kind.to_string().into())];
         metrics::counter!(metering::REFUSALS, &labels).increment(1);
         self.end("failed");
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 
 use cornelridge_model::ident;
+use cornelridge_model::key;
 use cornelridge_model::time;
-use cornelridge_store as store;
+use cornelridge_ownership as ownership;
+use cornelridge_store::client;
 use cornelridge_wire::identity;
 use cornelridge_wire::transport;
 use smol::net::TcpListener;
@@ -16,6 +18,7 @@
 use crate::configuration;
 use crate::context;
 use crate::drain;
+use crate::dump;
 use crate::executor;
 use crate::ingress;
 use crate::membership;
@@ -50,7 +53,9 @@
     #[error(transparent)]
     Identity(#[from] identity::IdentityError),
     /// No identity for a local trial was given.
-    #[error("a local trial needs an identity in the process; give --tls-ca, --tls-certificate and --tls-key")]
+    #[error(
+        "a local trial needs an identity in the process; give --tls-ca, --tls-certificate and --tls-key"
+    )]
     NoIdentity,
 }
 
@@ -106,7 +111,7 @@
             identity,
         })?;
         let peer_address = endpoint.local_address();
-        let store = store::StoreClient::new(store::StoreSettings::new(settings.store_address));
+        let store = client::StoreClient::new(client::StoreSettings::new(settings.store_address));
         let stop = CancellationToken::new();
         let mut random = fastrand::Rng::new();
         let context = Arc::new(context::NodeContext::new(context::ContextParts {
@@ -126,7 +131,7 @@
         if let Err(error) = metering::install() {
             log::warn!("no metrics: {error}");
         }
-        let drain_limit = settings.drain_limit;
+        let drain_limit = time::Duration(settings.drain_limit.as_micros() as u64);
         let handle = NodeHandle {
             context,
             drain_limit,
@@ -138,8 +143,7 @@
         handle.spawn_tasks(callers, announcements);
         let overseer = oversight::NodeOverseer::new(Arc::clone(&handle.context), drain_limit);
         let token = settings.operator_token.clone();
-        let endpoint =
-            operators::OperatorEndpoint::new(&settings.node, token, Arc::new(overseer));
+        let endpoint = operators::OperatorEndpoint::new(&settings.node, token, Arc::new(overseer));
         handle.context.executor.spawn(async move { endpoint.serve(overseers, stop).await });
         Ok(handle)
     }
@@ -171,9 +175,27 @@
         self.context.identity.incarnation
     }
 
-    /// State shared by the tasks, for tests and the bench.
-    pub fn context(&self) -> &Arc<context::NodeContext> {
-        &self.context
+    /// The whole state, as operators see it.
+    pub fn dump(&self) -> serde_json::Value {
+        dump::dump(&self.context)
+    }
+
+    /// Epoch and configuration revision in force at this node.
+    pub fn versions(&self) -> (ident::EpochNumber, ident::RevisionNumber) {
+        self.context.documents.versions()
+    }
+
+    /// Whether this node may serve a key of a class at this moment.
+    pub fn serves(&self, class: &str, key: &[u8]) -> bool {
+        let hash = key::KeyHash::of(class, key);
+        let Some(slice) = self.context.locate(class, hash) else { return false };
+        let decision = self.context.ownership().grant(self.context.clock.now(), slice);
+        matches!(decision, ownership::GrantDecision::Granted { .. })
+    }
+
+    /// Requests in flight at this node, as ingress or beside the upstream.
+    pub fn requests_in_flight(&self) -> usize {
+        self.context.requests.current()
     }
 
     /// Uses other certificates for new connections; requests on established ones go on.
--- a/crates/node/src/oversight.rs
+++ b/crates/node/src/oversight.rs
@@ -11,7 +11,7 @@
 use cornelridge_model::key;
 use cornelridge_model::report;
 use cornelridge_model::time;
-use cornelridge_store as store;
+use cornelridge_store::api as store;
 use cornelridge_wire::document;
 
 use crate::configuration;
@@ -147,13 +147,14 @@
         let key = kind.store_key(&context.identity.region);
         let stored = context.store.get(&key).await.map_err(unavailable)?;
         let base = stored.as_ref().map_or(store::StoreRevision(0), |value| value.revision);
-        let current = match &stored {
-            Some(value) => serde_json::from_slice::<class::ClassDocument>(&value.value)
-                .map_err(|error| operators::ChangeError::StoreUnavailable {
-                    reason: format!("the stored configuration can't be read: {error}"),
-                })?,
-            None => class::ClassDocument::default(),
-        };
+        let current =
+            match &stored {
+                Some(value) => serde_json::from_slice::<class::ClassDocument>(&value.value)
+                    .map_err(|error| operators::ChangeError::StoreUnavailable {
+                        reason: format!("the stored configuration can't be read: {error}"),
+                    })?,
+                None => class::ClassDocument::default(),
+            };
         let next = {
             let mut history = lock(&context.history);
             history.remember(&current);
@@ -209,15 +210,8 @@
         if incarnation == context.identity.incarnation || !planning::is_lost(context, incarnation) {
             return Err(operators::RetireError::StillAlive { node: name() });
         }
-        let leases: Vec<_> = next
-            .leases
-            .iter_mut()
-            .filter(|lease| lease.holder == member)
-            .map(|lease| {
-                lease.retired = true;
-                ident::LeaseId { incarnation, generation: lease.generation }
-            })
-            .collect();
+        let own_leases = next.leases.iter_mut().filter(|lease| lease.holder == member);
+        own_leases.for_each(|lease| lease.retired = true);
         next.epoch.0 += 1;
         next.change_id = context.draw();
         let bytes = Bytes::from(document::encode_assignment(&next).unwrap_or_default());
@@ -226,7 +220,7 @@
         match self.write(&key, base, next.change_id, bytes.clone(), read_change_id).await {
             write::WriteResult::TookEffect(_) => {
                 configuration::take(context, kind, bytes, acceptance::DocumentSource::Store);
-                Ok(report::RetireReport { node: name(), leases, epoch: next.epoch })
+                Ok(report::RetireReport { node: name(), incarnation, epoch: next.epoch })
             }
             write::WriteResult::LostTo(_) => Box::pin(self.put_retired(node, confirmed)).await,
             write::WriteResult::Uncertain(_) | write::WriteResult::GaveUp => {
@@ -324,11 +318,7 @@
         })
     }
 
-    fn owner(
-        &self,
-        class: &str,
-        key: &[u8],
-    ) -> Result<report::OwnerReport, operators::NotReady> {
+    fn owner(&self, class: &str, key: &[u8]) -> Result<report::OwnerReport, operators::NotReady> {
         owner(&self.context, class, key)
     }
 
--- a/crates/node/src/planning.rs
+++ b/crates/node/src/planning.rs
@@ -11,7 +11,7 @@
 use cornelridge_model::ident;
 use cornelridge_model::key;
 use cornelridge_model::time;
-use cornelridge_store as store;
+use cornelridge_store::api as store;
 use cornelridge_wire::document;
 use cornelridge_wire::generated;
 use futures_lite::FutureExt;
--- a/crates/node/src/policies.rs
+++ b/crates/node/src/policies.rs
@@ -38,7 +38,7 @@
 
 /// The policies of all classes.
 #[derive(Debug, Default)]
-pub struct PolicyTable {
+pub(crate) struct PolicyTable {
     classes: sync::Mutex<HashMap<Arc<str>, ClassPolicy>>,
 }
 
--- a/crates/node/src/replication.rs
+++ b/crates/node/src/replication.rs
@@ -49,7 +49,8 @@
     let kind = Some(generated::stream_head::Kind::RecordCopy(copy));
     let exchange = async {
         let head = generated::StreamHead { kind };
-        let (mut writer, mut reader) = context.endpoint.open_stream_queued(address, &head).await.ok()?;
+        let (mut writer, mut reader) =
+            context.endpoint.open_stream_queued(address, &head).await.ok()?;
         writer.finish().await.ok()?;
         let answer = reader.receive::<generated::RecordCopyAnswer>().await.ok()??;
         Some(answer.stored)
@@ -202,10 +203,7 @@
 }
 
 /// The slice of a class as a range of records, last hash included.
-pub(crate) fn range_of(
-    slices: &assignment::ClassSlices,
-    index: usize,
-) -> records::RecordRange {
+pub(crate) fn range_of(slices: &assignment::ClassSlices, index: usize) -> records::RecordRange {
     let first = slices.slices[index].start;
     let last = match slices.slices.get(index + 1) {
         Some(next) => key::KeyHash(next.start.0 - 1),
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -16,40 +16,40 @@
 use crate::headers;
 
 /// Longest key, in bytes.
-pub const MAX_KEY_BYTES: usize = 256;
+pub(crate) const MAX_KEY_BYTES: usize = 256;
 /// Longest path with query, in bytes.
-pub const MAX_PATH_BYTES: usize = 8 * 1024;
+pub(crate) const MAX_PATH_BYTES: usize = 8 * 1024;
 /// Longest body that is part of a request's fingerprint, in bytes.
 const MAX_FINGERPRINT_BODY_BYTES: usize = 64 * 1024;
 
 /// Everything about a request but its body.
 #[derive(Clone, Debug)]
-pub struct RequestHead {
+pub(crate) struct RequestHead {
     /// Drawn by the node that the caller sent it to.
-    pub id: u64,
+    pub(crate) id: u64,
     /// Name of the class.
-    pub class: Arc<str>,
+    pub(crate) class: Arc<str>,
     /// HTTP method.
-    pub method: Method,
+    pub(crate) method: Method,
     /// Path and query for the upstream.
-    pub path: String,
+    pub(crate) path: String,
     /// Headers for the upstream.
-    pub headers: HeaderMap,
+    pub(crate) headers: HeaderMap,
     /// Key, for classes that are divided by key.
-    pub key: Bytes,
+    pub(crate) key: Bytes,
     /// Names the execution of a non-idempotent request; empty otherwise.
-    pub idempotency_key: Arc<str>,
+    pub(crate) idempotency_key: Arc<str>,
     /// Name by which the load of the caller is counted.
-    pub caller: Arc<str>,
+    pub(crate) caller: Arc<str>,
     /// When the caller stops waiting, on the local clock.
-    pub deadline: time::Instant,
+    pub(crate) deadline: time::Instant,
     /// Attempts made before this one.
-    pub attempt: u32,
+    pub(crate) attempt: u32,
 }
 
 impl RequestHead {
     /// The place of the request in the hash space of its class.
-    pub fn slice_hash(&self, class: &class::ClassConfig) -> key::KeyHash {
+    pub(crate) fn slice_hash(&self, class: &class::ClassConfig) -> key::KeyHash {
         match class.division {
             class::KeyDivision::ByKey => key::KeyHash::of(&self.class, &self.key),
             class::KeyDivision::AnyWorker => {
@@ -59,10 +59,14 @@
     }
 
     /// Identifies requests with the same content, for the detection of requests that crash upstreams.
-    pub fn fingerprint(&self, source: &body::BodySource) -> u64 {
+    pub(crate) fn fingerprint(&self, source: &body::BodySource) -> u64 {
         let mut hasher = xxh3::Xxh3::new();
-        let parts =
-            [self.class.as_bytes(), self.method.as_str().as_bytes(), self.path.as_bytes(), &self.key];
+        let parts = [
+            self.class.as_bytes(),
+            self.method.as_str().as_bytes(),
+            self.path.as_bytes(),
+            &self.key,
+        ];
         for part in parts {
             hasher.update(&(part.len() as u64).to_le_bytes());
             hasher.update(part);
@@ -76,7 +80,12 @@
     }
 
     /// The message for another node; the deadline travels as the time that is left.
-    pub fn to_wire(&self, now: time::Instant, epoch: u64, has_body: bool) -> generated::RequestHead {
+    pub(crate) fn to_wire(
+        &self,
+        now: time::Instant,
+        epoch: u64,
+        has_body: bool,
+    ) -> generated::RequestHead {
         generated::RequestHead {
             request_id: self.id,
             class: self.class.to_string(),
@@ -94,7 +103,7 @@
     }
 
     /// Reads the message of another node.
-    pub fn from_wire(
+    pub(crate) fn from_wire(
         head: generated::RequestHead,
         now: time::Instant,
     ) -> Result<RequestHead, RequestFailure> {
@@ -124,26 +133,26 @@
 }
 
 /// The start of an answer, and its body.
-pub struct RequestAnswer {
+pub(crate) struct RequestAnswer {
     /// HTTP status.
-    pub status: StatusCode,
+    pub(crate) status: StatusCode,
     /// Headers for the caller.
-    pub headers: HeaderMap,
+    pub(crate) headers: HeaderMap,
     /// Body, pulled as the caller reads it.
-    pub body: AnswerBody,
+    pub(crate) body: AnswerBody,
 }
 
 /// The body of an answer together with the work that ends with it.
-pub struct AnswerBody {
+pub(crate) struct AnswerBody {
     /// Chunks of the upstream, or of the node beside it.
-    pub source: body::BodySource,
+    pub(crate) source: body::BodySource,
     /// Slot, ticket and connection, if the upstream is beside this node.
-    pub completion: Option<gate::AnswerCompletion>,
+    pub(crate) completion: Option<gate::AnswerCompletion>,
 }
 
 impl AnswerBody {
     /// A body with nothing to clean up.
-    pub fn new(source: body::BodySource) -> AnswerBody {
+    pub(crate) fn new(source: body::BodySource) -> AnswerBody {
         AnswerBody { source, completion: None }
     }
 }
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -33,10 +33,7 @@
 }
 
 /// Carries out what the machine asks for.
-pub(crate) fn apply(
-    context: &Arc<context::NodeContext>,
-    actions: Vec<ownership::OwnershipAction>,
-) {
+pub(crate) fn apply(context: &Arc<context::NodeContext>, actions: Vec<ownership::OwnershipAction>) {
     for action in actions {
         match action {
             ownership::OwnershipAction::Send { to, message } => {
@@ -90,8 +87,11 @@
 ) {
     context.meter.serving(fence.position > 0);
     if fence.position > 0 {
-        log::info!("took over class {class} slice {:016x} as successor {}", start.0, fence.position);
-        announce_expiries(context, class, start);
+        log::info!(
+            "took over class {class} slice {:016x} as successor {}",
+            start.0,
+            fence.position
+        );
     }
     let Some((range, _, is_first_chain)) = range_at(context, class, start) else { return };
     let classes = context.classes();
@@ -118,30 +118,6 @@
     }
 }
 
-/// Tells all members that earlier members of a chain expired, so that requests find the successor
-/// without asking the lost node first.
-fn announce_expiries(context: &Arc<context::NodeContext>, class: &str, start: key::KeyHash) {
-    let document = context.assignment();
-    let Some((_, slice, _)) = range_at(context, class, start) else { return };
-    let own = context.identity.incarnation;
-    for lease in slice.chain {
-        let id = document.lease_id(lease);
-        if id.incarnation == own {
-            return;
-        }
-        if !context.note_announced_expiry(id) {
-            continue;
-        }
-        let evidence = context.ownership().evidence(id);
-        for member in document.members.iter().filter(|member| member.incarnation != own) {
-            for message in &evidence {
-                let body = peers::from_ownership(context, message.clone());
-                peers::send(context, member.incarnation, body);
-            }
-        }
-    }
-}
-
 /// Fetches the records of slices in whose chain this node stands without having them.
 pub(crate) fn sync_records(context: &Arc<context::NodeContext>) {
     let document = context.assignment();
@@ -192,7 +168,9 @@
     range: &records::RecordRange,
 ) -> Vec<ident::IncarnationId> {
     let document = context.assignment();
-    let Some((_, slice, _)) = range_at(context, &range.class, range.first) else { return Vec::new() };
+    let Some((_, slice, _)) = range_at(context, &range.class, range.first) else {
+        return Vec::new();
+    };
     let leases = slice.chain.iter().chain(&slice.previous);
     leases.map(|lease| document.holder(*lease).incarnation).collect()
 }
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -35,26 +35,26 @@
 
 /// What an upstream says about itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct UpstreamAnnouncement {
+pub(crate) struct UpstreamAnnouncement {
     /// The class that it serves.
-    pub class: Arc<str>,
+    pub(crate) class: Arc<str>,
     /// Where it accepts HTTP/1.1.
-    pub address: net::SocketAddr,
+    pub(crate) address: net::SocketAddr,
     /// Requests that it can run at the same time.
-    pub slots: u32,
+    pub(crate) slots: u32,
     /// Connections that it accepts.
-    pub connections: u32,
+    pub(crate) connections: u32,
     /// Whether it checks fence tokens.
     #[serde(default)]
-    pub checks_fences: bool,
+    pub(crate) checks_fences: bool,
     /// Whether it is about to leave.
     #[serde(default)]
-    pub leaving: bool,
+    pub(crate) leaving: bool,
 }
 
 impl UpstreamAnnouncement {
     /// Parses and checks an announcement.
-    pub fn parse(data: &[u8]) -> Result<UpstreamAnnouncement, AnnouncementError> {
+    pub(crate) fn parse(data: &[u8]) -> Result<UpstreamAnnouncement, AnnouncementError> {
         let announcement: UpstreamAnnouncement = serde_json::from_slice(data)
             .map_err(|error| AnnouncementError::Format { detail: error.to_string() })?;
         if announcement.slots == 0 || announcement.slots > 10_000 {
@@ -73,7 +73,7 @@
 
 /// An announcement that can't be used.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
-pub enum AnnouncementError {
+pub(crate) enum AnnouncementError {
     /// The body isn't the expected JSON.
     #[error("announcement is not valid JSON: {detail}; see docs/operators.md for the fields")]
     Format {
@@ -100,23 +100,23 @@
 /// A request that the upstream didn't answer.
 #[derive(Clone, Debug, Error)]
 #[error("upstream {address}: {detail}")]
-pub struct DispatchError {
+pub(crate) struct DispatchError {
     /// Address of the upstream.
-    pub address: net::SocketAddr,
+    pub(crate) address: net::SocketAddr,
     /// What happened.
-    pub detail: String,
+    pub(crate) detail: String,
     /// Whether no byte of the request can have reached the upstream.
-    pub not_sent: bool,
+    pub(crate) not_sent: bool,
 }
 
 /// A connection to the upstream that is checked out for one request.
-pub struct UpstreamConnection {
+pub(crate) struct UpstreamConnection {
     sender: http1::SendRequest<node_body::HttpBody>,
 }
 
 /// Idle connections to one upstream address.
 #[derive(Debug)]
-pub struct ConnectionPool {
+pub(crate) struct ConnectionPool {
     address: net::SocketAddr,
     idle: sync::Mutex<Vec<http1::SendRequest<node_body::HttpBody>>>,
     max_idle: usize,
@@ -124,12 +124,12 @@
 
 impl ConnectionPool {
     /// A pool without connections.
-    pub fn new(address: net::SocketAddr, max_idle: u32) -> ConnectionPool {
+    pub(crate) fn new(address: net::SocketAddr, max_idle: u32) -> ConnectionPool {
         ConnectionPool { address, idle: sync::Mutex::default(), max_idle: max_idle as usize }
     }
 
     /// Address of the upstream.
-    pub fn address(&self) -> net::SocketAddr {
+    pub(crate) fn address(&self) -> net::SocketAddr {
         self.address
     }
 
@@ -144,7 +144,7 @@
     }
 
     /// Returns a connection whose answer was read to its end.
-    pub fn put_back(&self, connection: UpstreamConnection) {
+    pub(crate) fn put_back(&self, connection: UpstreamConnection) {
         if connection.sender.is_closed() {
             return;
         }
@@ -155,7 +155,7 @@
     }
 
     /// Takes an idle connection or makes a new one.
-    pub async fn connection(
+    pub(crate) async fn connection(
         &self,
         executor: &NodeExecutor,
     ) -> Result<UpstreamConnection, DispatchError> {
@@ -167,7 +167,7 @@
     }
 
     /// Sends a request; the future may be dropped, which closes the connection.
-    pub async fn send(
+    pub(crate) async fn send(
         &self,
         connection: &mut UpstreamConnection,
         request: Request<node_body::HttpBody>,
@@ -213,13 +213,13 @@
 
 /// Checks that an upstream responds at all; what it says about its health isn't used.
 #[derive(Debug, Default)]
-pub struct UpstreamChecker {
+pub(crate) struct UpstreamChecker {
     sender: Option<http1::SendRequest<Empty<Bytes>>>,
 }
 
 impl UpstreamChecker {
     /// Sends one check; any HTTP response counts.
-    pub async fn check(&mut self, address: net::SocketAddr, executor: &NodeExecutor) -> bool {
+    pub(crate) async fn check(&mut self, address: net::SocketAddr, executor: &NodeExecutor) -> bool {
         let attempt = async { self.check_once(address, executor).await };
         let limit = async {
             smol::Timer::after(CHECK_TIMEOUT.to_std()).await;
--- a/crates/node/src/workers.rs
+++ b/crates/node/src/workers.rs
@@ -23,7 +23,7 @@
 
 /// The workers of each class.
 #[derive(Debug, Default)]
-pub struct WorkerTable {
+pub(crate) struct WorkerTable {
     classes: sync::Mutex<HashMap<Arc<str>, ClassWorkers>>,
 }
 
--- a/crates/records/src/table.rs
+++ b/crates/records/src/table.rs
@@ -95,6 +95,24 @@
         self.sync.at(now, class, hash)
     }
 
+    /// What an earlier execution of this request decides, if there was one.
+    pub fn find(
+        &mut self,
+        now: time::Instant,
+        class: &Arc<str>,
+        hash: key::KeyHash,
+        idempotency_key: &Arc<str>,
+    ) -> Option<RecordDecision> {
+        self.expire(now);
+        let key = RequestKey {
+            class: Arc::clone(class),
+            hash,
+            idempotency_key: Arc::clone(idempotency_key),
+        };
+        let known = self.index.get(&key).copied()?;
+        self.entry(known).and_then(decide)
+    }
+
     /// Decides what the owner does with a request. The caller has checked that this node owns the
     /// slice, and checks it again immediately before it dispatches.
     pub fn begin(&mut self, now: time::Instant, request: &RecordRequest) -> RecordDecision {
--- a/crates/wire/src/document.rs
+++ b/crates/wire/src/document.rs
@@ -113,6 +113,7 @@
 fn encode_class(class: &assignment::ClassSlices) -> generated::Class {
     generated::Class {
         name: class.class.to_string(),
+        created: class.created.0,
         slices: class.slices.iter().map(encode_slice).collect(),
     }
 }
@@ -120,6 +121,7 @@
 fn decode_class(class: generated::Class) -> Result<assignment::ClassSlices, DocumentError> {
     Ok(assignment::ClassSlices {
         class: Arc::from(class.name),
+        created: ident::EpochNumber(class.created),
         slices: class.slices.iter().map(decode_slice).collect::<Result<_, _>>()?,
     })
 }
