--- /dev/null
+++ b/crates/ownership/src/activity.rs
@@ -0,0 +1,101 @@
+//! A clock that runs only while this process runs and hears other zones.
+
+use std::collections::BTreeMap;
+
+use cornelridge_model::{assignment, ident, time};
+
+use crate::timing;
+
+/// Fewest zones for which hearing a majority of them is asked for.
+const MIN_ZONES: usize = 3;
+/// Fewest members for which hearing any other member is asked for.
+const MIN_MEMBERS: usize = 3;
+
+/// Measures the silence of peers. Time in which this process was paused or cut off doesn't count,
+/// or else every guard would vouch for every lease after an interruption of the whole fleet.
+#[derive(Debug, Default)]
+pub(crate) struct ActiveClock {
+    now: time::Instant,
+    active: time::Instant,
+    zones: BTreeMap<ident::IncarnationId, usize>,
+    heard: Vec<Option<time::Instant>>,
+    needed: usize,
+}
+
+impl ActiveClock {
+    /// Takes the zones of the other members from a document.
+    pub(crate) fn adopt(
+        &mut self,
+        own: ident::IncarnationId,
+        document: &assignment::AssignmentDocument,
+    ) {
+        let present = |member: &&assignment::MemberRecord| {
+            member.state != assignment::MemberState::Gone || member.incarnation == own
+        };
+        let members: Vec<_> = document.members.iter().filter(present).collect();
+        let mut names: Vec<_> = members.iter().map(|member| &*member.zone).collect();
+        names.sort_unstable();
+        names.dedup();
+        let own_zone = members.iter().find(|member| member.incarnation == own);
+        let Some(own_zone) = own_zone.map(|member| &*member.zone) else {
+            *self = ActiveClock { now: self.now, active: self.active, ..ActiveClock::default() };
+            return;
+        };
+        let by_zone = names.len() >= MIN_ZONES;
+        let others = members.iter().filter(|member| member.incarnation != own);
+        self.zones = others
+            .filter(|member| !by_zone || *member.zone != *own_zone)
+            .map(|member| {
+                let zone = names.binary_search(&&*member.zone).unwrap_or(0);
+                (member.incarnation, if by_zone { zone } else { 0 })
+            })
+            .collect();
+        self.needed = match by_zone {
+            true => names.len() / 2,
+            false => usize::from(members.len() >= MIN_MEMBERS),
+        };
+        // Zone indices may have changed; every other zone starts as heard now.
+        self.heard = vec![None; names.len()];
+        for zone in self.zones.values() {
+            self.heard[*zone] = Some(self.now);
+        }
+    }
+
+    /// Advances to `now`, without the part in which this process was paused or isolated.
+    pub(crate) fn observe(&mut self, now: time::Instant) {
+        let step = now.since(self.now).min(timing::LONGEST_STEP);
+        self.now = self.now.max(now);
+        if !self.is_isolated() {
+            self.active = self.active + step;
+        }
+    }
+
+    /// Notes a datagram from a member; tells whether it ended an isolation.
+    pub(crate) fn hear(&mut self, from: ident::IncarnationId) -> bool {
+        let Some(zone) = self.zones.get(&from) else {
+            return false;
+        };
+        let was_isolated = self.is_isolated();
+        if let Some(heard) = self.heard.get_mut(*zone) {
+            *heard = Some(self.now);
+        }
+        was_isolated && !self.is_isolated()
+    }
+
+    /// Whether fewer zones than needed were heard lately.
+    pub(crate) fn is_isolated(&self) -> bool {
+        let is_recent = |heard: &time::Instant| self.now.since(*heard) <= timing::ISOLATION_LIMIT;
+        let recent = self.heard.iter().flatten().filter(|heard| is_recent(heard)).count();
+        recent < self.needed
+    }
+
+    /// The active time.
+    pub(crate) fn active(&self) -> time::Instant {
+        self.active
+    }
+
+    /// The latest time observed.
+    pub(crate) fn now(&self) -> time::Instant {
+        self.now
+    }
+}
--- a/crates/ownership/src/error.rs
+++ b/crates/ownership/src/error.rs
@@ -1,8 +1,13 @@
 //! Reasons to refuse a document.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use cornelridge_model::{assignment, ident};
 use thiserror::Error;
 
+/// Most guards of a lease.
+const MAX_GUARDS: usize = 5;
+
 /// A document that isn't adopted; the one before stays in force.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum AdoptError {
@@ -36,3 +41,49 @@
         lease: ident::LeaseId,
     },
 }
+
+/// Checks a document against itself and against the one in force.
+pub(crate) fn validate(
+    known: &assignment::AssignmentDocument,
+    offered: &assignment::AssignmentDocument,
+) -> Result<(), AdoptError> {
+    if offered.epoch <= known.epoch {
+        return Err(AdoptError::NotNewer { known: known.epoch, offered: offered.epoch });
+    }
+    offered.validate()?;
+    let mut members = BTreeSet::new();
+    if let Some(member) = offered.members.iter().find(|one| !members.insert(one.incarnation)) {
+        return Err(AdoptError::Duplicate { name: member.incarnation.to_string() });
+    }
+    let before = guard_sets(known);
+    let mut leases = BTreeSet::new();
+    for (lease, guards) in lease_guards(offered) {
+        if !leases.insert(lease) {
+            return Err(AdoptError::Duplicate { name: lease.to_string() });
+        }
+        let distinct: BTreeSet<_> = guards.iter().copied().collect();
+        if distinct.len() != guards.len() || guards.is_empty() || guards.len() > MAX_GUARDS {
+            return Err(AdoptError::GuardSet { lease });
+        }
+        if before.get(&lease).is_some_and(|known| *known != distinct) {
+            return Err(AdoptError::GuardsChanged { lease });
+        }
+    }
+    Ok(())
+}
+
+type GuardSets = BTreeMap<ident::LeaseId, BTreeSet<ident::IncarnationId>>;
+
+fn guard_sets(document: &assignment::AssignmentDocument) -> GuardSets {
+    lease_guards(document).map(|(lease, guards)| (lease, guards.into_iter().collect())).collect()
+}
+
+fn lease_guards(
+    document: &assignment::AssignmentDocument,
+) -> impl Iterator<Item = (ident::LeaseId, Vec<ident::IncarnationId>)> {
+    (0..document.leases.len() as u16).map(assignment::LeaseKey).map(|key| {
+        let guards = document.lease(key).guards.iter();
+        let guards = guards.map(|guard| document.member(*guard).incarnation).collect();
+        (document.lease_id(key), guards)
+    })
+}
--- /dev/null
+++ b/crates/ownership/src/holder.rs
@@ -0,0 +1,158 @@
+//! The holder's side of a lease.
+
+use std::collections::VecDeque;
+
+use cornelridge_model::{ident, time};
+
+use crate::timing;
+
+/// What the holder knows of one guard.
+#[derive(Clone, Debug)]
+pub struct GuardContact {
+    /// The guard.
+    pub guard: ident::IncarnationId,
+    /// When the latest acknowledged renewal was sent.
+    pub acknowledged: Option<time::Instant>,
+    /// Whether it never acknowledges again.
+    pub refused: bool,
+    sent: Option<time::Instant>,
+}
+
+/// Holds one lease while a majority of its guards acknowledged a renewal that was sent less than
+/// `LEASE_TERM` ago.
+#[derive(Debug)]
+pub struct LeaseHolder {
+    lease: ident::LeaseId,
+    guards: Vec<GuardContact>,
+    created: time::Instant,
+    sequence: u64,
+    sent: VecDeque<(u64, time::Instant)>,
+    until: Option<time::Instant>,
+    is_ended: bool,
+}
+
+impl LeaseHolder {
+    /// A lease that isn't held yet.
+    pub fn new(
+        now: time::Instant,
+        lease: ident::LeaseId,
+        guards: impl IntoIterator<Item = ident::IncarnationId>,
+    ) -> LeaseHolder {
+        let contact =
+            |guard| GuardContact { guard, acknowledged: None, refused: false, sent: None };
+        LeaseHolder {
+            lease,
+            guards: guards.into_iter().map(contact).collect(),
+            created: now,
+            sequence: 0,
+            sent: VecDeque::new(),
+            until: None,
+            is_ended: false,
+        }
+    }
+
+    /// The lease.
+    pub fn lease(&self) -> ident::LeaseId {
+        self.lease
+    }
+
+    /// The guards.
+    pub fn guards(&self) -> &[GuardContact] {
+        &self.guards
+    }
+
+    /// End of the lease if no further renewal is acknowledged.
+    pub fn valid_until(&self) -> Option<time::Instant> {
+        self.until
+    }
+
+    /// Whether the lease is held.
+    pub fn is_valid(&self, now: time::Instant) -> bool {
+        !self.is_ended && self.until.is_some_and(|until| now < until)
+    }
+
+    /// Whether the lease can never be held again.
+    pub fn is_ended(&self) -> bool {
+        self.is_ended
+    }
+
+    /// Gives the lease up for good.
+    pub fn end(&mut self) {
+        self.is_ended = true;
+    }
+
+    /// The next renewal and the guards that are due for it. `now` must not be later than the
+    /// sending.
+    pub fn renew(&mut self, now: time::Instant) -> Option<(u64, Vec<ident::IncarnationId>)> {
+        if self.is_ended {
+            return None;
+        }
+        let created = self.created;
+        let mut due = Vec::new();
+        for contact in self.guards.iter_mut().filter(|contact| contact.is_due(now, created)) {
+            contact.sent = Some(now);
+            due.push(contact.guard);
+        }
+        if due.is_empty() {
+            return None;
+        }
+        self.sequence += 1;
+        self.sent.retain(|(_, sent)| now.since(*sent) < timing::LEASE_TERM);
+        self.sent.push_back((self.sequence, now));
+        Some((self.sequence, due))
+    }
+
+    /// Makes the next renewal due at once for all guards.
+    pub fn hurry(&mut self) {
+        self.guards.iter_mut().for_each(|contact| contact.sent = None);
+    }
+
+    /// Counts an acknowledgement, from the time at which its renewal was sent.
+    pub fn acknowledge(&mut self, from: ident::IncarnationId, sequence: u64) {
+        let Some((_, sent)) = self.sent.iter().find(|(number, _)| *number == sequence) else {
+            return;
+        };
+        let Some(contact) = self.guards.iter_mut().find(|contact| contact.guard == from) else {
+            return;
+        };
+        contact.acknowledged = contact.acknowledged.max(Some(*sent));
+        self.update();
+    }
+
+    /// Counts the refusal of a guard; a majority of them ends the lease for good.
+    pub fn refuse(&mut self, from: ident::IncarnationId) {
+        let contact = self.guards.iter_mut().find(|contact| contact.guard == from);
+        if let Some(contact) = contact {
+            contact.refused = true;
+        }
+        let refused = self.guards.iter().filter(|contact| contact.refused).count();
+        self.is_ended |= refused >= majority(self.guards.len());
+    }
+
+    fn update(&mut self) {
+        let mut times: Vec<_> =
+            self.guards.iter().filter_map(|contact| contact.acknowledged).collect();
+        times.sort_unstable_by(|left, right| right.cmp(left));
+        let oldest = majority(self.guards.len()).checked_sub(1).and_then(|at| times.get(at));
+        self.until = oldest.map(|oldest| *oldest + timing::LEASE_TERM);
+    }
+}
+
+impl GuardContact {
+    fn is_due(&self, now: time::Instant, created: time::Instant) -> bool {
+        if self.refused {
+            return false;
+        }
+        let answers = match self.acknowledged {
+            Some(acknowledged) => now.since(acknowledged) <= timing::LEASE_TERM,
+            None => now.since(created) <= timing::FIRST_CONTACT,
+        };
+        let interval = if answers { timing::RENEW_INTERVAL } else { timing::SLOW_RENEW_INTERVAL };
+        self.sent.is_none_or(|sent| now.since(sent) >= interval)
+    }
+}
+
+/// Size of the smallest majority of a guard set; two majorities have a guard in common.
+pub(crate) fn majority(guards: usize) -> usize {
+    guards / 2 + 1
+}
--- /dev/null
+++ b/crates/ownership/src/ledger.rs
@@ -0,0 +1,128 @@
+//! Evidence that leases have expired.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use cornelridge_model::{ident, key, time};
+
+use crate::holder;
+
+#[derive(Debug, Default)]
+struct LeaseEvidence {
+    vouchers: Vec<ident::IncarnationId>,
+    is_released: bool,
+    known_at: Option<time::Instant>,
+}
+
+/// An upstream refuses the fences of a lease below `since` for a range of keys.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct FenceRefusal {
+    pub(crate) lease: ident::LeaseId,
+    pub(crate) class: Arc<str>,
+    pub(crate) start: key::KeyHash,
+    pub(crate) last: key::KeyHash,
+    pub(crate) since: ident::EpochNumber,
+}
+
+/// Collects evidence of expiry; an expiry is permanent.
+#[derive(Debug, Default)]
+pub struct ExpiryLedger {
+    leases: BTreeMap<ident::LeaseId, LeaseEvidence>,
+    refusals: Vec<FenceRefusal>,
+}
+
+impl ExpiryLedger {
+    /// Counts vouches by guards of the lease; vouches by others are ignored. Tells whether the
+    /// lease is newly known to have expired.
+    pub fn vouch(
+        &mut self,
+        now: time::Instant,
+        lease: ident::LeaseId,
+        guard_set: &[ident::IncarnationId],
+        vouchers: &[ident::IncarnationId],
+    ) -> bool {
+        let evidence = self.leases.entry(lease).or_default();
+        for guard in vouchers.iter().filter(|guard| guard_set.contains(guard)) {
+            if !evidence.vouchers.contains(guard) {
+                evidence.vouchers.push(*guard);
+            }
+        }
+        let is_majority = evidence.vouchers.len() >= holder::majority(guard_set.len());
+        is_majority && evidence.expire(now)
+    }
+
+    /// The holder gave the lease up.
+    pub fn release(&mut self, now: time::Instant, lease: ident::LeaseId) -> bool {
+        let evidence = self.leases.entry(lease).or_default();
+        evidence.is_released = true;
+        evidence.expire(now)
+    }
+
+    /// An operator declared the holder dead.
+    pub fn retire(&mut self, now: time::Instant, lease: ident::LeaseId) -> bool {
+        self.leases.entry(lease).or_default().expire(now)
+    }
+
+    /// An upstream that checks fences was asked directly.
+    pub(crate) fn refuse(&mut self, refusal: FenceRefusal) {
+        if !self.refusals.contains(&refusal) {
+            self.refusals.push(refusal);
+        }
+    }
+
+    /// Whether an upstream's refusal covers a range under a chain that began at `since`.
+    pub(crate) fn is_refused(
+        &self,
+        lease: ident::LeaseId,
+        since: ident::EpochNumber,
+        class: &str,
+        range: (key::KeyHash, key::KeyHash),
+    ) -> bool {
+        self.refusals.iter().any(|refusal| {
+            refusal.lease == lease
+                && refusal.since == since
+                && *refusal.class == *class
+                && refusal.start <= range.0
+                && range.1 <= refusal.last
+        })
+    }
+
+    /// When this process learnt that the lease expired.
+    pub fn known_at(&self, lease: ident::LeaseId) -> Option<time::Instant> {
+        self.leases.get(&lease)?.known_at
+    }
+
+    /// Whether the lease is known to have expired.
+    pub fn is_expired(&self, lease: ident::LeaseId) -> bool {
+        self.known_at(lease).is_some()
+    }
+
+    /// Whether the holder is known to have given the lease up.
+    pub fn is_released(&self, lease: ident::LeaseId) -> bool {
+        self.leases.get(&lease).is_some_and(|evidence| evidence.is_released)
+    }
+
+    /// Guards that are known to have vouched; relayed to any peer that asks.
+    pub fn vouchers(&self, lease: ident::LeaseId) -> &[ident::IncarnationId] {
+        self.leases.get(&lease).map_or(&[], |evidence| &evidence.vouchers)
+    }
+
+    /// All leases known to have expired, with the time of learning it.
+    pub fn expired(&self) -> impl Iterator<Item = (ident::LeaseId, time::Instant)> + '_ {
+        self.leases.iter().filter_map(|(lease, evidence)| Some((*lease, evidence.known_at?)))
+    }
+
+    /// Forgets leases that no document names any more, and refusals of earlier chains.
+    pub(crate) fn retain(&mut self, is_named: impl Fn(&ident::LeaseId) -> bool) {
+        self.leases.retain(|lease, _| is_named(lease));
+        self.refusals.retain(|refusal| is_named(&refusal.lease));
+    }
+}
+
+impl LeaseEvidence {
+    fn expire(&mut self, now: time::Instant) -> bool {
+        let is_new = self.known_at.is_none();
+        self.known_at.get_or_insert(now);
+        is_new
+    }
+}
--- a/crates/ownership/src/machine.rs
+++ b/crates/ownership/src/machine.rs
@@ -1,26 +1,76 @@
 //! The facade that the node process drives.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use cornelridge_model::{assignment, ident, key, time};
 
 use crate::action;
+use crate::activity;
+use crate::contact;
+use crate::duty;
 use crate::error;
+use crate::holder;
 use crate::message;
-use crate::report;
+use crate::slices;
+use crate::work;
+
+/// How often a newer document of a peer is reported again.
+const FETCH_INTERVAL: time::Duration = time::Duration::from_millis(200);
+
+/// An own lease and what was reported about it.
+#[derive(Debug)]
+pub(crate) struct OwnLease {
+    pub(crate) holder: holder::LeaseHolder,
+    /// Active time since which a lease that was held isn't held any more.
+    pub(crate) lapsed_at: Option<time::Instant>,
+    pub(crate) is_reported_held: bool,
+    pub(crate) is_reported_ended: bool,
+    /// When peers were first and last told that the lease has ended.
+    pub(crate) announced: Option<(time::Instant, time::Instant)>,
+}
+
+/// A slice that this node reported to serve.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ServedSlice {
+    pub(crate) lease: ident::LeaseId,
+    pub(crate) fence: ident::FenceToken,
+}
 
 /// Decides which slices this process may serve.
 #[derive(Debug)]
 pub struct OwnershipMachine {
-    #[allow(dead_code)]
-    own: ident::IncarnationId,
+    pub(crate) own: ident::IncarnationId,
+    pub(crate) clock: activity::ActiveClock,
+    pub(crate) contacts: contact::PeerContacts,
+    pub(crate) slices: slices::SliceOwnership,
+    pub(crate) leases: BTreeMap<ident::LeaseId, OwnLease>,
+    pub(crate) duties: BTreeMap<ident::LeaseId, duty::GuardDuty>,
+    pub(crate) works: work::WorkBook,
+    pub(crate) serving: BTreeMap<(Arc<str>, key::KeyHash), ServedSlice>,
+    pub(crate) confirmed: ident::EpochNumber,
+    pub(crate) asked_at: Option<time::Instant>,
+    pub(crate) rounds: u64,
+    fetch: Option<(ident::EpochNumber, time::Instant)>,
 }
 
-#[allow(unused_variables, clippy::needless_pass_by_value, dead_code)]
 impl OwnershipMachine {
     /// A machine without a document for one run of a process.
     pub fn new(incarnation: ident::IncarnationId) -> OwnershipMachine {
-        OwnershipMachine { own: incarnation }
+        OwnershipMachine {
+            own: incarnation,
+            clock: activity::ActiveClock::default(),
+            contacts: contact::PeerContacts::default(),
+            slices: slices::SliceOwnership::new(incarnation),
+            leases: BTreeMap::new(),
+            duties: BTreeMap::new(),
+            works: work::WorkBook::default(),
+            serving: BTreeMap::new(),
+            confirmed: ident::EpochNumber::default(),
+            asked_at: None,
+            rounds: 0,
+            fetch: None,
+        }
     }
 
     /// Puts a document of a higher epoch in force.
@@ -29,12 +79,29 @@
         now: time::Instant,
         document: Arc<assignment::AssignmentDocument>,
     ) -> Result<Vec<action::OwnershipAction>, error::AdoptError> {
-        Ok(Vec::new())
+        error::validate(self.slices.document(), &document)?;
+        let mut actions = Vec::new();
+        self.clock.observe(now);
+        self.clock.adopt(self.own, &document);
+        self.slices.adopt(now, document);
+        self.contacts.adopt(self.clock.active(), self.slices.members());
+        self.adopt_duties();
+        self.adopt_leases(now);
+        self.lose_work(now);
+        self.renew(now, &mut actions);
+        self.settle(now, &mut actions);
+        Ok(actions)
     }
 
     /// Advances timers; call it every 20 to 50 ms.
     pub fn tick(&mut self, now: time::Instant) -> Vec<action::OwnershipAction> {
-        Vec::new()
+        let mut actions = Vec::new();
+        self.clock.observe(now);
+        self.renew(now, &mut actions);
+        self.ask(now, &mut actions);
+        self.settle(now, &mut actions);
+        self.announce(now, &mut actions);
+        actions
     }
 
     /// Handles a datagram from a peer. Read `now` after the datagram was received: a guard counts
@@ -45,7 +112,16 @@
         from: ident::IncarnationId,
         message: message::OwnershipMessage,
     ) -> Vec<action::OwnershipAction> {
-        Vec::new()
+        let mut actions = Vec::new();
+        self.clock.observe(now);
+        if from == self.own {
+            return actions;
+        }
+        self.hear(now, from, &mut actions);
+        if self.handle(now, from, message, &mut actions) {
+            self.settle(now, &mut actions);
+        }
+        actions
     }
 
     /// Notes a response of a peer to a message of this node, such as a `ProbeAck`. Messages that a
@@ -55,18 +131,38 @@
         now: time::Instant,
         peer: ident::IncarnationId,
     ) -> Vec<action::OwnershipAction> {
-        Vec::new()
+        let mut actions = Vec::new();
+        self.clock.observe(now);
+        self.hear(now, peer, &mut actions);
+        self.contacts.hear(self.clock.active(), peer);
+        actions
     }
 
     /// Where to send a request: the best guess of the server, then the other members of the chain
-    /// except those known to have expired.
+    /// except those known to have expired. Members that stopped answering probes come last.
     pub fn route(&self, slice: assignment::SliceKey) -> Vec<ident::IncarnationId> {
-        Vec::new()
+        let active = self.clock.active();
+        self.slices.route(slice, |member| self.contacts.has_stopped(active, member))
     }
 
     /// Whether this node may serve a slice of the document in force.
     pub fn grant(&self, now: time::Instant, slice: assignment::SliceKey) -> action::GrantDecision {
-        action::GrantDecision::NotOwner { holder: None }
+        let (lease, fence) = match self.slices.standing(now, slice) {
+            slices::SliceStanding::Serves { lease, fence } => (lease, Some(fence)),
+            slices::SliceStanding::Pending { lease } => (lease, None),
+            slices::SliceStanding::Other { holder } => {
+                return action::GrantDecision::NotOwner { holder };
+            }
+        };
+        let Some(own) = self.leases.get(&lease).filter(|own| !own.holder.is_ended()) else {
+            return action::GrantDecision::NotOwner { holder: self.slices.successor(slice) };
+        };
+        match (fence, own.holder.valid_until()) {
+            (Some(fence), Some(valid_until)) if own.holder.is_valid(now) => {
+                action::GrantDecision::Granted { lease, fence, valid_until }
+            }
+            _ => action::GrantDecision::Wait,
+        }
     }
 
     /// Counts a request for any key of a slice as in flight.
@@ -75,7 +171,8 @@
         now: time::Instant,
         slice: assignment::SliceKey,
     ) -> Result<action::WorkTicket, action::GrantDecision> {
-        Err(self.grant(now, slice))
+        let range = self.slices.range(slice);
+        self.begin_range(now, slice, range)
     }
 
     /// Counts a request for one key as in flight, so that a later split of its slice affects the
@@ -86,21 +183,35 @@
         class: &str,
         hash: key::KeyHash,
     ) -> Result<action::WorkTicket, action::GrantDecision> {
-        Err(action::GrantDecision::NotOwner { holder: None })
+        let Some(slice) = self.slices.document().locate(class, hash) else {
+            return Err(action::GrantDecision::NotOwner { holder: None });
+        };
+        self.begin_range(now, slice, Some((hash, hash)))
     }
 
     /// Ends a piece of work. The confirmation of an epoch waits for it.
-    pub fn end(&mut self, ticket: action::WorkTicket) {}
+    #[expect(clippy::needless_pass_by_value, reason = "a ticket is ended once")]
+    pub fn end(&mut self, ticket: action::WorkTicket) {
+        let action::WorkTicket { work, .. } = ticket;
+        self.works.end(work);
+        self.confirm();
+    }
 
     /// Whether work may be dispatched now, or its response be passed on now.
     pub fn check(&self, now: time::Instant, ticket: &action::WorkTicket) -> bool {
-        false
+        let entry = self.works.entries.get(&ticket.work);
+        entry.is_some_and(|entry| !entry.is_cancelled && self.is_held(now, entry.lease))
     }
 
     /// Gives up all leases for good. Work in flight is cancelled, and peers are told when it has
     /// ended. A later document may name a new generation: call again if it must not be used.
     pub fn release(&mut self, now: time::Instant) -> Vec<action::OwnershipAction> {
-        Vec::new()
+        let mut actions = Vec::new();
+        self.clock.observe(now);
+        self.leases.values_mut().for_each(|own| own.holder.end());
+        self.settle(now, &mut actions);
+        self.announce(now, &mut actions);
+        actions
     }
 
     /// Notes that an upstream, asked directly, now refuses every fence of `lease` below the fence
@@ -111,21 +222,126 @@
         slice: assignment::SliceKey,
         lease: ident::LeaseId,
     ) -> Vec<action::OwnershipAction> {
-        Vec::new()
+        let mut actions = Vec::new();
+        self.clock.observe(now);
+        self.slices.refuse(slice, lease);
+        self.settle(now, &mut actions);
+        actions
     }
 
     /// The highest epoch that this process has confirmed.
     pub fn confirmed_epoch(&self) -> ident::EpochNumber {
-        ident::EpochNumber(0)
+        self.confirmed
     }
 
-    /// State for dumps.
-    pub fn state(&self) -> report::OwnershipReport {
-        report::OwnershipReport::default()
+    /// Whether an own lease is held.
+    pub(crate) fn is_held(&self, now: time::Instant, lease: ident::LeaseId) -> bool {
+        self.leases.get(&lease).is_some_and(|own| own.holder.is_valid(now))
     }
 
-    /// Checks the invariants of the machine; names the first that doesn't hold.
-    pub fn verify(&self, now: time::Instant) -> Result<(), &'static str> {
-        Ok(())
+    fn begin_range(
+        &mut self,
+        now: time::Instant,
+        slice: assignment::SliceKey,
+        range: Option<(key::KeyHash, key::KeyHash)>,
+    ) -> Result<action::WorkTicket, action::GrantDecision> {
+        let decision = self.grant(now, slice);
+        let action::GrantDecision::Granted { lease, fence, valid_until } = decision else {
+            return Err(decision);
+        };
+        let Some(((start, last), class)) = range.zip(self.slices.class(slice).cloned()) else {
+            return Err(action::GrantDecision::NotOwner { holder: None });
+        };
+        let entry =
+            work::WorkEntry { class, start, last, lease, lost_at: None, is_cancelled: false };
+        let work = self.works.begin(entry);
+        Ok(action::WorkTicket { work, lease, fence, valid_until })
+    }
+
+    fn adopt_duties(&mut self) {
+        let active = self.clock.active();
+        let is_guard = |record: &assignment::LeaseRecord| {
+            let document = self.slices.document();
+            record.guards.iter().any(|guard| document.member(*guard).incarnation == self.own)
+        };
+        let guarded: BTreeMap<_, _> = self
+            .slices
+            .leases()
+            .filter(|(_, record)| is_guard(record))
+            .map(|(lease, record)| (lease, record.retired))
+            .collect();
+        // A vouch is permanent, even if a document stops naming the lease.
+        self.duties.retain(|lease, duty| duty.has_vouched() || guarded.contains_key(lease));
+        for (lease, is_retired) in guarded {
+            let duty = self.duties.entry(lease).or_insert_with(|| duty::GuardDuty::new(active));
+            if is_retired {
+                duty.close();
+            }
+        }
+    }
+
+    fn adopt_leases(&mut self, now: time::Instant) {
+        let own_leases: Vec<_> = self
+            .slices
+            .leases()
+            .map(|(lease, _)| lease)
+            .filter(|l| l.incarnation == self.own)
+            .collect();
+        for lease in own_leases {
+            let guards = self.slices.lease_key(lease).map(|key| self.slices.guards(key));
+            let own = self.leases.entry(lease).or_insert_with(|| OwnLease {
+                holder: holder::LeaseHolder::new(now, lease, guards.unwrap_or_default()),
+                lapsed_at: None,
+                is_reported_held: false,
+                is_reported_ended: false,
+                announced: None,
+            });
+            if self.slices.ledger().is_expired(lease) {
+                own.holder.end();
+            }
+        }
+        let (slices, works) = (&self.slices, &self.works);
+        self.leases.retain(|lease, own| {
+            own.holder.is_ended() || slices.lease_key(*lease).is_some() || works.is_under(*lease)
+        });
+    }
+
+    fn lose_work(&mut self, now: time::Instant) {
+        for entry in self.works.entries.values_mut() {
+            if entry.lost_at.is_none() && !self.slices.covers(now, entry) {
+                entry.lost_at = Some(now);
+            }
+        }
+    }
+
+    fn hear(
+        &mut self,
+        now: time::Instant,
+        from: ident::IncarnationId,
+        actions: &mut Vec<action::OwnershipAction>,
+    ) {
+        if self.clock.hear(from) {
+            // Guards stop counting silence while they are cut off; renew before they go on.
+            self.leases.values_mut().for_each(|own| own.holder.hurry());
+            self.renew(now, actions);
+        }
+    }
+
+    /// Reports a newer document of a peer.
+    pub(crate) fn note_epoch(
+        &mut self,
+        now: time::Instant,
+        from: ident::IncarnationId,
+        epoch: ident::EpochNumber,
+        actions: &mut Vec<action::OwnershipAction>,
+    ) {
+        let is_repeated = self
+            .fetch
+            .is_some_and(|(reported, at)| epoch <= reported && now.since(at) < FETCH_INTERVAL);
+        if epoch <= self.slices.document().epoch || is_repeated {
+            return;
+        }
+        self.fetch = Some((epoch, now));
+        actions.push(action::OwnershipAction::FetchDocument { from, epoch });
     }
 }
--- /dev/null
+++ b/crates/ownership/src/protocol.rs
@@ -0,0 +1,300 @@
+//! Datagrams between machines: renewals, vouches, confirmations and releases.
+
+use std::collections::BTreeSet;
+
+use cornelridge_model::{ident, time};
+
+use crate::action;
+use crate::duty;
+use crate::machine;
+use crate::message;
+use crate::timing;
+
+/// Guards that don't vouch for a member in long silence are asked in one of so many rounds.
+const LONG_SILENCE_ROUNDS: u64 = 4;
+
+impl machine::OwnershipMachine {
+    /// Sends due renewals.
+    pub(crate) fn renew(&mut self, now: time::Instant, actions: &mut Vec<action::OwnershipAction>) {
+        let epoch = self.slices.document().epoch;
+        let slices = &self.slices;
+        // A lease that the document in force doesn't name is kept only until its work has ended.
+        let named =
+            self.leases.values_mut().filter(|own| slices.lease_key(own.holder.lease()).is_some());
+        let renewals: Vec<_> = named
+            .filter_map(|own| {
+                let (sequence, guards) = own.holder.renew(now)?;
+                Some((own.holder.lease(), sequence, guards))
+            })
+            .collect();
+        for (lease, sequence, guards) in renewals {
+            for guard in guards {
+                let message = message::OwnershipMessage::Renew { lease, sequence, epoch };
+                self.send(now, guard, message, actions);
+            }
+        }
+    }
+
+    /// Asks for expiries and confirmations that this node waits for.
+    pub(crate) fn ask(&mut self, now: time::Instant, actions: &mut Vec<action::OwnershipAction>) {
+        // Ticks come every 20 to 50 ms; half an interval keeps a jittering tick in its round.
+        let half = time::Duration(timing::ASK_INTERVAL.0 / 2);
+        if self.asked_at.is_some_and(|asked| now.since(asked) < half) {
+            return;
+        }
+        self.asked_at = Some(now);
+        self.rounds += 1;
+        let active = self.clock.active();
+        let questions =
+            self.slices.questions(now, |member| self.contacts.is_silent(active, member));
+        for (lease, peer) in questions.leases {
+            let lease = self.slices.document().lease_id(lease);
+            let silence = self.contacts.silence(active, lease.incarnation);
+            if silence < timing::LONG_SILENCE || self.rounds.is_multiple_of(LONG_SILENCE_ROUNDS) {
+                self.send(now, peer, message::OwnershipMessage::VouchQuery { lease }, actions);
+            }
+        }
+        for ((member, peer), epoch) in questions.confirms {
+            let message = message::OwnershipMessage::ConfirmQuery { epoch, member };
+            self.send(now, peer, message, actions);
+        }
+    }
+
+    /// Tells peers about own leases that have ended, again and again since datagrams are lost.
+    pub(crate) fn announce(
+        &mut self,
+        now: time::Instant,
+        actions: &mut Vec<action::OwnershipAction>,
+    ) {
+        let due: Vec<_> = self
+            .leases
+            .values()
+            .filter(|own| self.is_announcement_due(now, own))
+            .map(|own| own.holder.lease())
+            .collect();
+        for lease in due {
+            let Some(own) = self.leases.get_mut(&lease) else {
+                continue;
+            };
+            let first = own.announced.map_or(now, |(first, _)| first);
+            own.announced = Some((first, now));
+            self.slices.ledger.release(now, lease);
+            for peer in self.slices.neighbours(lease) {
+                self.send(now, peer, message::OwnershipMessage::Released { lease }, actions);
+            }
+        }
+    }
+
+    fn is_announcement_due(&self, now: time::Instant, own: &machine::OwnLease) -> bool {
+        let lease = own.holder.lease();
+        if !own.holder.is_ended() || self.slices.lease_key(lease).is_none() {
+            return false;
+        }
+        if let Some((first, latest)) = own.announced {
+            let is_new = now.since(first) < time::Duration::from_secs(1);
+            let interval =
+                if is_new { timing::RENEW_INTERVAL } else { timing::SLOW_ANNOUNCE_INTERVAL };
+            return now.since(latest) >= interval;
+        }
+        // A successor may serve at once when it learns of a release, so the work ends first. At
+        // the end of the lease it could serve anyway.
+        let has_passed = own.holder.valid_until().is_none_or(|until| until <= now);
+        has_passed || !self.works.is_under(lease)
+    }
+
+    /// Handles a message; tells whether the standing of this node may have changed.
+    pub(crate) fn handle(
+        &mut self,
+        now: time::Instant,
+        from: ident::IncarnationId,
+        message: message::OwnershipMessage,
+        actions: &mut Vec<action::OwnershipAction>,
+    ) -> bool {
+        match message {
+            message::OwnershipMessage::Renew { lease, sequence, epoch } => {
+                self.note_epoch(now, from, epoch, actions);
+                self.answer_renewal(now, from, (lease, sequence, epoch), actions);
+                false
+            }
+            message::OwnershipMessage::RenewAck { lease, sequence, epoch } => {
+                self.note_epoch(now, from, epoch, actions);
+                self.contacts.hear(self.clock.active(), from);
+                let was_held = self.is_held(now, lease);
+                if let Some(own) = self.leases.get_mut(&lease) {
+                    own.holder.acknowledge(from, sequence);
+                }
+                !was_held && self.is_held(now, lease)
+            }
+            message::OwnershipMessage::RenewRefused { lease, epoch } => {
+                self.note_epoch(now, from, epoch, actions);
+                self.contacts.hear(self.clock.active(), from);
+                let Some(own) = self.leases.get_mut(&lease) else {
+                    return false;
+                };
+                own.holder.refuse(from);
+                own.holder.is_ended()
+            }
+            message::OwnershipMessage::VouchQuery { lease } => {
+                self.answer_vouch_query(now, from, lease, actions)
+            }
+            message::OwnershipMessage::Vouch { lease, guards } => {
+                self.note_vouches(now, lease, &guards)
+            }
+            message::OwnershipMessage::ConfirmQuery { epoch, member } => {
+                self.note_epoch(now, from, epoch, actions);
+                self.answer_confirm_query(now, from, epoch, member, actions);
+                false
+            }
+            message::OwnershipMessage::Confirm { member, epoch } => {
+                if member == self.own {
+                    return false;
+                }
+                if member == from {
+                    self.contacts.hear(self.clock.active(), from);
+                }
+                self.slices.confirm(member, epoch);
+                true
+            }
+            message::OwnershipMessage::Released { lease } => self.note_release(now, lease),
+        }
+    }
+
+    fn answer_renewal(
+        &mut self,
+        now: time::Instant,
+        from: ident::IncarnationId,
+        (lease, sequence, offered): (ident::LeaseId, u64, ident::EpochNumber),
+        actions: &mut Vec<action::OwnershipAction>,
+    ) {
+        if from != lease.incarnation {
+            return;
+        }
+        let epoch = self.slices.document().epoch;
+        let active = self.clock.active();
+        let is_renewed = match self.duties.get_mut(&lease) {
+            Some(duty) => duty.renew(active, sequence),
+            // A later document has dropped the lease; an earlier one doesn't name it yet.
+            None if self.slices.lease_key(lease).is_none() && offered < epoch => false,
+            None => return,
+        };
+        let message = match is_renewed {
+            true => message::OwnershipMessage::RenewAck { lease, sequence, epoch },
+            false => message::OwnershipMessage::RenewRefused { lease, epoch },
+        };
+        self.send(now, from, message, actions);
+    }
+
+    fn answer_vouch_query(
+        &mut self,
+        now: time::Instant,
+        from: ident::IncarnationId,
+        lease: ident::LeaseId,
+        actions: &mut Vec<action::OwnershipAction>,
+    ) -> bool {
+        if self.slices.lease_key(lease).is_none() || !self.slices.has_member(from) {
+            return false;
+        }
+        if self.slices.ledger().is_released(lease) {
+            self.send(now, from, message::OwnershipMessage::Released { lease }, actions);
+            return false;
+        }
+        let active = self.clock.active();
+        let own_duty: Option<&mut duty::GuardDuty> = self.duties.get_mut(&lease);
+        let has_vouched = own_duty.is_some_and(|duty| duty.vouch(active));
+        let own = self.own;
+        let is_changed = has_vouched && self.note_vouches(now, lease, &[own]);
+        let guards = self.slices.ledger().vouchers(lease).to_vec();
+        if !guards.is_empty() {
+            self.send(now, from, message::OwnershipMessage::Vouch { lease, guards }, actions);
+        }
+        is_changed
+    }
+
+    fn note_vouches(
+        &mut self,
+        now: time::Instant,
+        lease: ident::LeaseId,
+        guards: &[ident::IncarnationId],
+    ) -> bool {
+        let Some(key) = self.slices.lease_key(lease) else {
+            return false;
+        };
+        let guard_set = self.slices.guards(key);
+        let is_expired = self.slices.ledger.vouch(now, lease, &guard_set, guards);
+        self.end_expired(lease);
+        is_expired
+    }
+
+    fn note_release(&mut self, now: time::Instant, lease: ident::LeaseId) -> bool {
+        if self.slices.lease_key(lease).is_none() {
+            return false;
+        }
+        let is_expired = self.slices.ledger.release(now, lease);
+        self.end_expired(lease);
+        is_expired
+    }
+
+    fn end_expired(&mut self, lease: ident::LeaseId) {
+        if self.slices.ledger().is_expired(lease)
+            && let Some(own) = self.leases.get_mut(&lease)
+        {
+            own.holder.end();
+        }
+    }
+
+    fn answer_confirm_query(
+        &mut self,
+        now: time::Instant,
+        from: ident::IncarnationId,
+        epoch: ident::EpochNumber,
+        member: ident::IncarnationId,
+        actions: &mut Vec<action::OwnershipAction>,
+    ) {
+        let known = match member == self.own {
+            true => self.confirmed,
+            false => self.slices.confirmed(member),
+        };
+        if member == self.own || known >= epoch {
+            let message = message::OwnershipMessage::Confirm { member, epoch: known };
+            self.send(now, from, message, actions);
+        }
+    }
+
+    /// Sends a message; one to this node itself is handled at once.
+    fn send(
+        &mut self,
+        now: time::Instant,
+        to: ident::IncarnationId,
+        message: message::OwnershipMessage,
+        actions: &mut Vec<action::OwnershipAction>,
+    ) {
+        if to != self.own {
+            actions.push(action::OwnershipAction::Send { to, message });
+            return;
+        }
+        // A node may guard its own lease or one that it succeeds. The next tick settles the rest.
+        self.handle(now, to, message, actions);
+    }
+
+    /// Gives up leases that this node fails to renew although successors answer it: with one guard
+    /// that has vouched and one that is lost, nobody could either renew or vouch.
+    pub(crate) fn give_up_lapsed(&mut self) {
+        let active = self.clock.active();
+        let is_due = |own: &&machine::OwnLease| {
+            let is_long = |lapsed| active.since(lapsed) >= timing::LAPSE_LIMIT;
+            !own.holder.is_ended() && own.lapsed_at.is_some_and(is_long)
+        };
+        let lapsed = self.leases.values().filter(is_due).map(|own| own.holder.lease());
+        let hopeless: BTreeSet<_> = lapsed
+            .filter(|lease| {
+                let is_present = |member| self.contacts.is_present(active, member);
+                self.slices.has_successors(*lease, is_present)
+            })
+            .collect();
+        for lease in hopeless {
+            if let Some(own) = self.leases.get_mut(&lease) {
+                own.holder.end();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/slices.rs
@@ -0,0 +1,443 @@
+//! Who may serve a slice.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use cornelridge_model::{assignment, ident, key, time};
+
+use crate::ledger;
+use crate::timing;
+use crate::work;
+
+/// This node's place in a slice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SliceStanding {
+    /// It may serve while it holds the lease.
+    Serves {
+        /// The lease.
+        lease: ident::LeaseId,
+        /// Token for the upstream.
+        fence: ident::FenceToken,
+    },
+    /// It is to serve once the move is settled and every allowance has passed.
+    Pending {
+        /// The lease.
+        lease: ident::LeaseId,
+    },
+    /// Another node is to serve.
+    Other {
+        /// The best guess of that node.
+        holder: Option<ident::IncarnationId>,
+    },
+}
+
+/// What has to be asked so that this node may serve its slices.
+#[derive(Debug, Default)]
+pub(crate) struct SliceQuestions {
+    /// Leases that may have expired, and the peers that may know.
+    pub(crate) leases: BTreeSet<(assignment::LeaseKey, ident::IncarnationId)>,
+    /// Members that may have confirmed, the epochs, and whom to ask.
+    pub(crate) confirms: BTreeMap<(ident::IncarnationId, ident::IncarnationId), ident::EpochNumber>,
+}
+
+/// Applies the rules of succession and settlement to the document in force.
+#[derive(Debug)]
+pub struct SliceOwnership {
+    own: ident::IncarnationId,
+    own_key: Option<assignment::MemberKey>,
+    document: Arc<assignment::AssignmentDocument>,
+    leases: BTreeMap<ident::LeaseId, assignment::LeaseKey>,
+    members: BTreeMap<ident::IncarnationId, assignment::MemberKey>,
+    mine: Vec<assignment::SliceKey>,
+    confirmed: BTreeMap<ident::IncarnationId, ident::EpochNumber>,
+    pub(crate) ledger: ledger::ExpiryLedger,
+}
+
+impl SliceOwnership {
+    /// Without a document.
+    pub fn new(own: ident::IncarnationId) -> SliceOwnership {
+        SliceOwnership {
+            own,
+            own_key: None,
+            document: Arc::default(),
+            leases: BTreeMap::new(),
+            members: BTreeMap::new(),
+            mine: Vec::new(),
+            confirmed: BTreeMap::new(),
+            ledger: ledger::ExpiryLedger::default(),
+        }
+    }
+
+    /// Puts a validated document in force.
+    pub fn adopt(&mut self, now: time::Instant, document: Arc<assignment::AssignmentDocument>) {
+        self.leases = index_leases(&document);
+        self.members = index_members(&document);
+        self.own_key = self.members.get(&self.own).copied();
+        self.confirmed.retain(|member, _| self.members.contains_key(member));
+        self.ledger.retain(|lease| self.leases.contains_key(lease));
+        for (lease, key) in &self.leases {
+            if document.lease(*key).retired {
+                self.ledger.retire(now, *lease);
+            }
+        }
+        self.document = document;
+        self.mine = self.slice_keys().filter(|key| self.position(*key).is_some()).collect();
+    }
+
+    /// The document in force.
+    pub fn document(&self) -> &assignment::AssignmentDocument {
+        &self.document
+    }
+
+    /// Evidence of expiry.
+    pub fn ledger(&self) -> &ledger::ExpiryLedger {
+        &self.ledger
+    }
+
+    /// Counts a confirmation; the highest one counts.
+    pub fn confirm(&mut self, member: ident::IncarnationId, epoch: ident::EpochNumber) {
+        if self.members.contains_key(&member) {
+            let known = self.confirmed.entry(member).or_default();
+            *known = epoch.max(*known);
+        }
+    }
+
+    /// The highest epoch that a member is known to have confirmed.
+    pub fn confirmed(&self, member: ident::IncarnationId) -> ident::EpochNumber {
+        self.confirmed.get(&member).copied().unwrap_or_default()
+    }
+
+    /// The key of a lease in the document in force.
+    pub(crate) fn lease_key(&self, lease: ident::LeaseId) -> Option<assignment::LeaseKey> {
+        self.leases.get(&lease).copied()
+    }
+
+    /// Whether the document in force names a member.
+    pub(crate) fn has_member(&self, member: ident::IncarnationId) -> bool {
+        self.members.contains_key(&member)
+    }
+
+    /// All leases of the document in force.
+    pub(crate) fn leases(
+        &self,
+    ) -> impl Iterator<Item = (ident::LeaseId, &assignment::LeaseRecord)> {
+        self.leases.iter().map(|(lease, key)| (*lease, self.document.lease(*key)))
+    }
+
+    /// All members of the document in force.
+    pub(crate) fn members(&self) -> impl Iterator<Item = ident::IncarnationId> + '_ {
+        self.members.keys().copied()
+    }
+
+    /// The guards of a lease.
+    pub(crate) fn guards(&self, lease: assignment::LeaseKey) -> Vec<ident::IncarnationId> {
+        let guards = &self.document.lease(lease).guards;
+        guards.iter().map(|guard| self.document.member(*guard).incarnation).collect()
+    }
+
+    /// Slices with this node in their chain.
+    pub(crate) fn mine(&self) -> &[assignment::SliceKey] {
+        &self.mine
+    }
+
+    /// The slice at a key that may come from another document.
+    pub(crate) fn slice(&self, key: assignment::SliceKey) -> Option<&assignment::SliceRecord> {
+        self.document.classes.get(usize::from(key.class))?.slices.get(key.slice as usize)
+    }
+
+    /// The first and the last hash of a slice.
+    pub(crate) fn range(&self, key: assignment::SliceKey) -> Option<(key::KeyHash, key::KeyHash)> {
+        let slices = &self.document.classes.get(usize::from(key.class))?.slices;
+        let start = slices.get(key.slice as usize)?.start;
+        let next = slices.get(key.slice as usize + 1);
+        Some((start, next.map_or(key::KeyHash(u64::MAX), |next| key::KeyHash(next.start.0 - 1))))
+    }
+
+    /// The name of a class.
+    pub(crate) fn class(&self, key: assignment::SliceKey) -> Option<&Arc<str>> {
+        self.document.classes.get(usize::from(key.class)).map(|slices| &slices.class)
+    }
+
+    /// This node's place in a slice.
+    pub fn standing(&self, now: time::Instant, key: assignment::SliceKey) -> SliceStanding {
+        let Some(slice) = self.slice(key) else {
+            return SliceStanding::Other { holder: None };
+        };
+        let holder = || self.best_holder(slice);
+        let Some(position) = self.position(key) else {
+            return SliceStanding::Other { holder: holder() };
+        };
+        let earlier = &slice.chain[..position];
+        if !earlier.iter().all(|lease| self.is_expired(key, slice, *lease)) {
+            return SliceStanding::Other { holder: holder() };
+        }
+        let lease = self.document.lease_id(slice.chain[position]);
+        let is_settled = earlier.iter().all(|lease| self.is_past(now, key, slice, *lease))
+            && self.waiting_for(now, key, slice, position).next().is_none();
+        if !is_settled {
+            return SliceStanding::Pending { lease };
+        }
+        let fence = ident::FenceToken { since: slice.since, position: position as u32 };
+        SliceStanding::Serves { lease, fence }
+    }
+
+    /// Members of the earlier chain that have neither confirmed nor expired.
+    pub(crate) fn waiting_for<'a>(
+        &'a self,
+        now: time::Instant,
+        key: assignment::SliceKey,
+        slice: &'a assignment::SliceRecord,
+        position: usize,
+    ) -> impl Iterator<Item = assignment::LeaseKey> + 'a {
+        let lease = slice.chain[position];
+        let place = slice.previous.iter().position(|previous| *previous == lease);
+        let before = &slice.previous[..place.unwrap_or(slice.previous.len())];
+        before.iter().copied().filter(move |previous| {
+            let holder = self.document.holder(*previous).incarnation;
+            // Both leases of this node are served by one process, which has adopted the document.
+            let is_done = holder == self.own || self.confirmed(holder) >= slice.since;
+            !is_done && !self.is_past(now, key, slice, *previous)
+        })
+    }
+
+    /// Members of a chain in the order in which to try them.
+    pub(crate) fn route(
+        &self,
+        key: assignment::SliceKey,
+        is_silent: impl Fn(ident::IncarnationId) -> bool,
+    ) -> Vec<ident::IncarnationId> {
+        let Some(slice) = self.slice(key) else {
+            return Vec::new();
+        };
+        let open = slice.chain.iter().filter(|lease| !self.is_expired(key, slice, **lease));
+        let mut members: Vec<_> =
+            open.map(|lease| self.document.holder(*lease).incarnation).collect();
+        members.sort_by_key(|member| is_silent(*member));
+        members
+    }
+
+    /// The best guess of who serves a slice, other than this node.
+    pub(crate) fn successor(&self, key: assignment::SliceKey) -> Option<ident::IncarnationId> {
+        self.best_holder(self.slice(key)?)
+    }
+
+    /// Notes that an upstream refuses the earlier fences of a lease for a slice.
+    pub(crate) fn refuse(&mut self, key: assignment::SliceKey, lease: ident::LeaseId) {
+        let place = self.slice(key).zip(self.class(key)).zip(self.range(key));
+        let Some(((slice, class), (start, last))) = place else {
+            return;
+        };
+        let (class, since) = (Arc::clone(class), slice.since);
+        self.ledger.refuse(ledger::FenceRefusal { lease, class, start, last, since });
+    }
+
+    /// Whether this node may serve a whole range now, under `lease`.
+    pub(crate) fn covers(&self, now: time::Instant, entry: &work::WorkEntry) -> bool {
+        self.serving_lease(now, entry) == Some(entry.lease)
+    }
+
+    /// The one lease under which this node may serve a whole range now.
+    pub(crate) fn serving_lease(
+        &self,
+        now: time::Instant,
+        entry: &work::WorkEntry,
+    ) -> Option<ident::LeaseId> {
+        let (class, slices) = self.document.class(&entry.class)?;
+        let first = slices.find(entry.start)?;
+        let last = slices.find(entry.last)?;
+        let mut leases = (first..=last).map(|slice| {
+            let key = assignment::SliceKey { class, slice: slice as u32 };
+            match self.standing(now, key) {
+                SliceStanding::Serves { lease, .. } => Some(lease),
+                SliceStanding::Pending { .. } | SliceStanding::Other { .. } => None,
+            }
+        });
+        let lease = leases.next()??;
+        leases.all(|other| other == Some(lease)).then_some(lease)
+    }
+
+    /// What to ask so that this node may serve its slices.
+    pub(crate) fn questions(
+        &self,
+        now: time::Instant,
+        is_silent: impl Fn(ident::IncarnationId) -> bool,
+    ) -> SliceQuestions {
+        let mut questions = SliceQuestions::default();
+        for key in &self.mine {
+            let Some((slice, position)) = self.slice(*key).zip(self.position(*key)) else {
+                continue;
+            };
+            let holder = |lease: &assignment::LeaseKey| self.document.holder(*lease).incarnation;
+            if self.ledger.is_expired(self.document.lease_id(slice.chain[position])) {
+                continue;
+            }
+            let is_open = |lease: &&assignment::LeaseKey| !self.is_expired(*key, slice, **lease);
+            let open: Vec<_> = slice.chain[..position].iter().filter(is_open).collect();
+            for lease in open.iter().filter(|lease| is_silent(holder(lease))) {
+                self.ask_expiry(slice, **lease, &mut questions);
+            }
+            if !open.iter().all(|lease| is_silent(holder(lease))) {
+                continue;
+            }
+            for lease in self.waiting_for(now, *key, slice, position).collect::<Vec<_>>() {
+                self.ask_settlement(slice, lease, is_silent(holder(&lease)), &mut questions);
+            }
+        }
+        questions
+    }
+
+    fn ask_expiry(
+        &self,
+        slice: &assignment::SliceRecord,
+        lease: assignment::LeaseKey,
+        questions: &mut SliceQuestions,
+    ) {
+        if self.ledger.is_expired(self.document.lease_id(lease)) {
+            return;
+        }
+        let peers = self.peers(slice).chain(self.guards(lease));
+        questions.leases.extend(peers.map(|peer| (lease, peer)));
+    }
+
+    fn ask_settlement(
+        &self,
+        slice: &assignment::SliceRecord,
+        lease: assignment::LeaseKey,
+        is_silent: bool,
+        questions: &mut SliceQuestions,
+    ) {
+        let member = self.document.holder(lease).incarnation;
+        if is_silent {
+            self.ask_expiry(slice, lease, questions);
+        }
+        // The other members of the chain answer for a member that this node can't reach.
+        let relays = self.peers(slice).filter(|_| is_silent);
+        for peer in relays.chain([member]).filter(|peer| *peer != self.own) {
+            let epoch = questions.confirms.entry((member, peer)).or_default();
+            *epoch = slice.since.max(*epoch);
+        }
+    }
+
+    /// Holders of both chains of a slice.
+    fn peers<'a>(
+        &'a self,
+        slice: &'a assignment::SliceRecord,
+    ) -> impl Iterator<Item = ident::IncarnationId> + 'a {
+        let leases = slice.chain.iter().chain(&slice.previous);
+        leases
+            .map(|lease| self.document.holder(*lease).incarnation)
+            .filter(|holder| *holder != self.own)
+    }
+
+    /// Members that share a slice with an own lease, and its guards.
+    pub(crate) fn neighbours(&self, lease: ident::LeaseId) -> BTreeSet<ident::IncarnationId> {
+        let Some(key) = self.lease_key(lease) else {
+            return BTreeSet::new();
+        };
+        let slices = self.document.classes.iter().flat_map(|class| &class.slices);
+        let shared =
+            slices.filter(|slice| slice.chain.contains(&key) || slice.previous.contains(&key));
+        let mut peers: BTreeSet<_> = shared.flat_map(|slice| self.peers(slice)).collect();
+        peers.extend(self.guards(key).into_iter().filter(|guard| *guard != self.own));
+        peers
+    }
+
+    /// Whether this node is to serve slices under a lease, and a later member that satisfies
+    /// `is_ready` could succeed it in each of them.
+    pub(crate) fn has_successors(
+        &self,
+        lease: ident::LeaseId,
+        is_ready: impl Fn(ident::IncarnationId) -> bool,
+    ) -> bool {
+        let Some(lease_key) = self.lease_key(lease) else {
+            return false;
+        };
+        let is_open = |key, slice: &_, lease: &_| !self.is_expired(key, slice, *lease);
+        let mut served = self.mine.iter().filter_map(|key| {
+            let slice = self.slice(*key)?;
+            let position = slice.chain.iter().position(|other| *other == lease_key)?;
+            let is_next =
+                !slice.chain[..position].iter().any(|earlier| is_open(*key, slice, earlier));
+            is_next.then_some((*key, slice, position))
+        });
+        let is_covered = |(key, slice, position): (_, &assignment::SliceRecord, usize)| {
+            slice.chain[position + 1..].iter().any(|later| {
+                is_open(key, slice, later) && is_ready(self.document.holder(*later).incarnation)
+            })
+        };
+        served.next().is_some_and(is_covered) && served.all(is_covered)
+    }
+
+    fn slice_keys(&self) -> impl Iterator<Item = assignment::SliceKey> + '_ {
+        self.document.classes.iter().enumerate().flat_map(|(class, slices)| {
+            let class = class as u16;
+            (0..slices.slices.len() as u32).map(move |slice| assignment::SliceKey { class, slice })
+        })
+    }
+
+    /// This node's first position in the chain of a slice.
+    pub(crate) fn position(&self, key: assignment::SliceKey) -> Option<usize> {
+        let own = self.own_key?;
+        self.slice(key)?.chain.iter().position(|lease| self.document.lease(*lease).holder == own)
+    }
+
+    fn best_holder(&self, slice: &assignment::SliceRecord) -> Option<ident::IncarnationId> {
+        let is_open = |lease: &&assignment::LeaseKey| {
+            let is_own = Some(self.document.lease(**lease).holder) == self.own_key;
+            !is_own && !self.ledger.is_expired(self.document.lease_id(**lease))
+        };
+        let lease = slice.chain.iter().find(is_open)?;
+        Some(self.document.holder(*lease).incarnation)
+    }
+
+    fn is_expired(
+        &self,
+        key: assignment::SliceKey,
+        slice: &assignment::SliceRecord,
+        lease: assignment::LeaseKey,
+    ) -> bool {
+        let id = self.document.lease_id(lease);
+        self.ledger.is_expired(id) || self.is_refused(key, slice, id)
+    }
+
+    /// Whether a lease has expired and the allowance for its upstream has passed.
+    fn is_past(
+        &self,
+        now: time::Instant,
+        key: assignment::SliceKey,
+        slice: &assignment::SliceRecord,
+        lease: assignment::LeaseKey,
+    ) -> bool {
+        let id = self.document.lease_id(lease);
+        let allowance = match self.document.holder(lease).checks_fences {
+            true => time::Duration::ZERO,
+            false => timing::CHECK_TO_SEND,
+        };
+        let is_past = |known_at: time::Instant| now >= known_at + allowance;
+        self.ledger.known_at(id).is_some_and(is_past) || self.is_refused(key, slice, id)
+    }
+
+    fn is_refused(
+        &self,
+        key: assignment::SliceKey,
+        slice: &assignment::SliceRecord,
+        lease: ident::LeaseId,
+    ) -> bool {
+        let place = self.class(key).zip(self.range(key));
+        place.is_some_and(|(class, range)| self.ledger.is_refused(lease, slice.since, class, range))
+    }
+}
+
+fn index_leases(
+    document: &assignment::AssignmentDocument,
+) -> BTreeMap<ident::LeaseId, assignment::LeaseKey> {
+    let keys = (0..document.leases.len() as u16).map(assignment::LeaseKey);
+    keys.map(|key| (document.lease_id(key), key)).collect()
+}
+
+fn index_members(
+    document: &assignment::AssignmentDocument,
+) -> BTreeMap<ident::IncarnationId, assignment::MemberKey> {
+    let members = document.members.iter().enumerate();
+    members.map(|(at, member)| (member.incarnation, assignment::MemberKey(at as u16))).collect()
+}
--- /dev/null
+++ b/crates/ownership/src/work.rs
@@ -0,0 +1,71 @@
+//! Work in flight, by hash range and lease.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use cornelridge_model::{ident, key, time};
+
+use crate::action;
+
+/// One request in flight. The range, not the index of the slice, identifies its keys in documents
+/// to come.
+#[derive(Debug)]
+pub(crate) struct WorkEntry {
+    pub(crate) class: Arc<str>,
+    pub(crate) start: key::KeyHash,
+    pub(crate) last: key::KeyHash,
+    pub(crate) lease: ident::LeaseId,
+    /// When a document moved some of its range away.
+    pub(crate) lost_at: Option<time::Instant>,
+    pub(crate) is_cancelled: bool,
+}
+
+/// All work in flight.
+#[derive(Debug, Default)]
+pub(crate) struct WorkBook {
+    next: u64,
+    pub(crate) entries: BTreeMap<action::WorkId, WorkEntry>,
+}
+
+impl WorkBook {
+    pub(crate) fn begin(&mut self, entry: WorkEntry) -> action::WorkId {
+        self.next += 1;
+        let work = action::WorkId(self.next);
+        self.entries.insert(work, entry);
+        work
+    }
+
+    pub(crate) fn end(&mut self, work: action::WorkId) {
+        self.entries.remove(&work);
+    }
+
+    pub(crate) fn is_under(&self, lease: ident::LeaseId) -> bool {
+        self.entries.values().any(|entry| entry.lease == lease)
+    }
+
+    /// Number of requests that delay the confirmation.
+    pub(crate) fn ending(&self) -> usize {
+        self.entries.values().filter(|entry| entry.lost_at.is_some()).count()
+    }
+
+    /// Cancels work that matches, each at most once.
+    pub(crate) fn cancel(
+        &mut self,
+        reason: action::CancelReason,
+        is_due: impl Fn(&WorkEntry) -> bool,
+        actions: &mut Vec<action::OwnershipAction>,
+    ) {
+        for (work, entry) in &mut self.entries {
+            if entry.is_cancelled || !is_due(entry) {
+                continue;
+            }
+            entry.is_cancelled = true;
+            actions.push(action::OwnershipAction::CancelWork {
+                work: *work,
+                class: Arc::clone(&entry.class),
+                start: entry.start,
+                reason,
+            });
+        }
+    }
+}
