--- /dev/null
+++ b/crates/standin/src/soak/world.rs
@@ -0,0 +1,482 @@
+//! Fakes for the clocks, links and documents of several ownership machines.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::mem;
+use std::net;
+use std::sync::Arc;
+
+use cornelridge_model::{assignment, ident, key, time};
+use cornelridge_ownership as ownership;
+
+/// Real time of one step in microseconds.
+pub const STEP_US: u64 = 5_000;
+/// The class of all slices.
+pub const CLASS: &str = "quote-desk";
+const PROBE_US: u64 = 100_000;
+const SECOND_US: u64 = 1_000_000;
+/// Most violations that are described in a report.
+const MAX_DESCRIBED: usize = 8;
+
+/// Result of a run.
+#[derive(Clone, Debug, Default)]
+pub struct SoakReport {
+    /// Steps carried out.
+    pub steps: u64,
+    /// Descriptions of broken invariants, the first few only.
+    pub violations: Vec<String>,
+    /// Times that a key was found served by one node.
+    pub served: u64,
+    /// Times that a key was found without a server.
+    pub unserved: u64,
+    /// Requests begun.
+    pub works: u64,
+    /// Documents written.
+    pub documents: u64,
+    /// Faults injected.
+    pub faults: u64,
+    /// Datagrams delivered.
+    pub datagrams: u64,
+}
+
+/// A slice of the plan, by lease identities.
+#[derive(Clone, Debug)]
+pub struct PlanSlice {
+    /// Owner and successors.
+    pub chain: Vec<ident::LeaseId>,
+    /// Epoch in which the chain began.
+    pub since: u64,
+    /// The chain before.
+    pub previous: Vec<ident::LeaseId>,
+}
+
+/// What the planner knows, from which documents are made.
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    /// The epoch written last.
+    pub epoch: u64,
+    /// Zones by incarnation.
+    pub members: BTreeMap<ident::IncarnationId, usize>,
+    /// Guards by lease.
+    pub leases: BTreeMap<ident::LeaseId, Vec<ident::IncarnationId>>,
+    /// Slices by first hash.
+    pub slices: BTreeMap<u64, PlanSlice>,
+    /// Leases declared dead by an operator.
+    pub retired: BTreeSet<ident::LeaseId>,
+    /// Whether upstreams check fences.
+    pub checks_fences: bool,
+}
+
+/// A request in flight.
+#[derive(Debug)]
+struct Request {
+    ticket: ownership::WorkTicket,
+    hash: u64,
+    ends_at: u64,
+}
+
+/// One host; a restart makes a new one.
+#[derive(Debug)]
+pub struct Host {
+    /// The run of its process.
+    pub incarnation: ident::IncarnationId,
+    /// Its zone.
+    pub zone: usize,
+    /// Its machine.
+    pub machine: ownership::OwnershipMachine,
+    /// Whether the process runs.
+    pub is_alive: bool,
+    /// Real time at which it ended.
+    pub dead_since: Option<u64>,
+    /// Real time until which it is paused.
+    pub paused_until: u64,
+    /// The document in force.
+    pub document: Arc<assignment::AssignmentDocument>,
+    rate_ppm: u64,
+    next_tick: u64,
+    requests: Vec<Request>,
+}
+
+#[derive(Clone, Debug)]
+enum Packet {
+    Probe,
+    ProbeAck,
+    Control(ownership::OwnershipMessage),
+    Document(Arc<assignment::AssignmentDocument>),
+}
+
+/// Hosts, links and the planner.
+#[derive(Debug)]
+pub struct World {
+    /// Real time in microseconds.
+    pub now: u64,
+    /// All hosts, also dead ones.
+    pub hosts: Vec<Host>,
+    /// The planner's state.
+    pub plan: Plan,
+    /// Links that drop everything, from and to, until a time.
+    pub cuts: BTreeMap<(usize, usize), u64>,
+    /// Share of datagrams lost and of datagrams duplicated, in percent.
+    pub loss_percent: u64,
+    /// Longest delay of a datagram in microseconds.
+    pub max_delay_us: u64,
+    /// Whether documents can be written and read.
+    pub is_store_up: bool,
+    /// Counters and violations.
+    pub report: SoakReport,
+    /// Source of randomness.
+    pub rng: fastrand::Rng,
+    packets: BTreeMap<(u64, u64), (usize, usize, Packet)>,
+    sent: u64,
+}
+
+impl Plan {
+    /// The document of this plan.
+    pub fn document(&self) -> assignment::AssignmentDocument {
+        let incarnations: Vec<_> = self.members.keys().copied().collect();
+        let member = |one: &ident::IncarnationId| {
+            assignment::MemberKey(incarnations.binary_search(one).unwrap_or_default() as u16)
+        };
+        let leases: Vec<_> = self.leases.keys().copied().collect();
+        let lease = |one: &ident::LeaseId| {
+            assignment::LeaseKey(leases.binary_search(one).unwrap_or_default() as u16)
+        };
+        let members = self.members.iter().map(|(incarnation, zone)| assignment::MemberRecord {
+            name: incarnation.to_string().into(),
+            incarnation: *incarnation,
+            address: net::SocketAddr::from(([127, 0, 0, 1], 0)),
+            zone: format!("zone-{zone}").into(),
+            class: CLASS.into(),
+            state: assignment::MemberState::Active,
+            checks_fences: self.checks_fences,
+        });
+        let records = self.leases.iter().map(|(id, guards)| assignment::LeaseRecord {
+            holder: member(&id.incarnation),
+            generation: id.generation,
+            guards: guards.iter().map(member).collect(),
+            retired: self.retired.contains(id),
+        });
+        let slices = self.slices.iter().map(|(start, slice)| assignment::SliceRecord {
+            start: key::KeyHash(*start),
+            chain: slice.chain.iter().map(lease).collect(),
+            since: ident::EpochNumber(slice.since),
+            previous: slice.previous.iter().map(lease).collect(),
+        });
+        assignment::AssignmentDocument {
+            epoch: ident::EpochNumber(self.epoch),
+            change_id: self.epoch,
+            members: members.collect(),
+            leases: records.collect(),
+            classes: vec![assignment::ClassSlices {
+                class: CLASS.into(),
+                slices: slices.collect(),
+            }],
+        }
+    }
+
+    /// The latest generation of a member's lease.
+    pub fn latest(&self, member: ident::IncarnationId) -> Option<ident::LeaseId> {
+        self.leases.keys().rfind(|lease| lease.incarnation == member).copied()
+    }
+}
+
+impl World {
+    /// Hosts in zones with `slices` slices; all have adopted the first document.
+    pub fn new(seed: u64, zones: usize, hosts: usize, slices: u64) -> World {
+        let mut world = World {
+            now: SECOND_US,
+            hosts: Vec::new(),
+            plan: Plan::default(),
+            cuts: BTreeMap::new(),
+            loss_percent: 0,
+            max_delay_us: 1_000,
+            is_store_up: true,
+            report: SoakReport::default(),
+            rng: fastrand::Rng::with_seed(seed),
+            packets: BTreeMap::new(),
+            sent: 0,
+        };
+        (0..hosts).for_each(|host| world.start_host(host % zones));
+        let members: Vec<_> = world.plan.members.keys().copied().collect();
+        members.into_iter().for_each(|member| world.new_generation(member));
+        for slice in 0..slices {
+            let chain = world.pick_chain();
+            let slice_start = u64::MAX / slices * slice;
+            world.plan.slices.insert(slice_start, PlanSlice { chain, since: 1, previous: vec![] });
+        }
+        world.publish(0);
+        world
+    }
+
+    /// Starts a new incarnation in a zone; the plan knows it as a member.
+    pub fn start_host(&mut self, zone: usize) {
+        let incarnation = ident::IncarnationId(self.rng.u64(1..));
+        self.plan.members.insert(incarnation, zone);
+        self.hosts.push(Host {
+            incarnation,
+            zone,
+            machine: ownership::OwnershipMachine::new(incarnation),
+            is_alive: true,
+            dead_since: None,
+            paused_until: 0,
+            document: Arc::default(),
+            rate_ppm: self.rng.u64(990_000..=1_010_000),
+            next_tick: self.now,
+            requests: Vec::new(),
+        });
+    }
+
+    /// Index of a living host.
+    pub fn host_of(&self, incarnation: ident::IncarnationId) -> Option<usize> {
+        self.hosts.iter().position(|host| host.incarnation == incarnation && host.is_alive)
+    }
+
+    /// The local clock of a host.
+    pub fn local(&self, host: usize) -> time::Instant {
+        time::Instant(self.now * self.hosts[host].rate_ppm / 1_000_000)
+    }
+
+    /// Gives a member a new generation of its lease with living guards in different zones.
+    pub fn new_generation(&mut self, member: ident::IncarnationId) {
+        let generation = self.plan.latest(member).map_or(1, |lease| lease.generation + 1);
+        let mut hosts: Vec<_> = self.hosts.iter().filter(|host| host.is_alive).collect();
+        hosts.retain(|host| host.incarnation != member);
+        self.rng.shuffle(&mut hosts);
+        let mut zones = BTreeSet::new();
+        let spread = hosts.iter().filter(|host| zones.insert(host.zone)).take(3);
+        let guards: Vec<_> = spread.map(|host| host.incarnation).collect();
+        if !guards.is_empty() {
+            let lease = ident::LeaseId { incarnation: member, generation };
+            self.plan.leases.insert(lease, guards);
+        }
+    }
+
+    /// Latest leases of up to three living hosts in different zones.
+    pub fn pick_chain(&mut self) -> Vec<ident::LeaseId> {
+        let mut hosts: Vec<_> = self.hosts.iter().filter(|host| host.is_alive).collect();
+        self.rng.shuffle(&mut hosts);
+        let mut zones = BTreeSet::new();
+        let usable = |lease: &ident::LeaseId| !self.plan.retired.contains(lease);
+        let leases = hosts.iter().filter_map(|host| {
+            let lease = self.plan.latest(host.incarnation).filter(usable)?;
+            zones.insert(host.zone).then_some(lease)
+        });
+        leases.take(assignment::MAX_CHAIN).collect()
+    }
+
+    /// Writes the plan; each living host learns of it within `max_late_us`.
+    pub fn publish(&mut self, max_late_us: u64) {
+        self.plan.epoch += 1;
+        self.report.documents += 1;
+        let document = Arc::new(self.plan.document());
+        for host in 0..self.hosts.len() {
+            let late = self.rng.u64(0..=max_late_us);
+            self.enqueue(self.now + late, (host, host), Packet::Document(Arc::clone(&document)));
+        }
+    }
+
+    /// Moves a slice that has no unsettled move to a chain, in the next document.
+    pub fn move_slice(&mut self, start: u64, chain: Vec<ident::LeaseId>) -> bool {
+        let since = self.plan.epoch + 1;
+        let Some(slice) = self.plan.slices.get_mut(&start) else {
+            return false;
+        };
+        if chain.is_empty() || chain == slice.chain || !slice.previous.is_empty() {
+            return false;
+        }
+        slice.previous = mem::replace(&mut slice.chain, chain);
+        slice.since = since;
+        true
+    }
+
+    /// Ends the process of a host.
+    pub fn kill(&mut self, host: usize) {
+        self.hosts[host].is_alive = false;
+        self.hosts[host].dead_since = Some(self.now);
+        self.hosts[host].requests.clear();
+    }
+
+    /// Advances by one step: deliveries, ticks, requests, then the check.
+    pub fn step(&mut self) {
+        self.now += STEP_US;
+        self.report.steps += 1;
+        self.deliver();
+        for host in 0..self.hosts.len() {
+            if self.is_running(host) {
+                self.tick(host);
+            }
+        }
+        self.check();
+    }
+
+    /// Advances by a span of real time.
+    pub fn run_for(&mut self, millis: u64) {
+        (0..millis * 1_000 / STEP_US).for_each(|_| self.step());
+    }
+
+    /// Living hosts that serve a key at this moment.
+    pub fn servers(&self, hash: u64) -> Vec<usize> {
+        let hosts = 0..self.hosts.len();
+        hosts.filter(|host| self.hosts[*host].is_alive && self.is_server(*host, hash)).collect()
+    }
+
+    /// First and last hashes of the planned slices.
+    pub fn keys(&self) -> Vec<u64> {
+        let starts = self.plan.slices.keys();
+        starts.flat_map(|start| [start.wrapping_sub(1), *start]).collect()
+    }
+
+    /// Keys that nobody serves.
+    pub fn unserved(&self) -> Vec<u64> {
+        let keys = self.keys().into_iter();
+        keys.filter(|hash| self.servers(*hash).is_empty()).collect()
+    }
+
+    fn is_server(&self, host: usize, hash: u64) -> bool {
+        let now = self.local(host);
+        let host = &self.hosts[host];
+        let is_granted = host.document.locate(CLASS, key::KeyHash(hash)).is_some_and(|slice| {
+            matches!(host.machine.grant(now, slice), ownership::GrantDecision::Granted { .. })
+        });
+        let is_running = |one: &Request| one.hash == hash && host.machine.check(now, &one.ticket);
+        is_granted || host.requests.iter().any(is_running)
+    }
+
+    fn is_running(&self, host: usize) -> bool {
+        self.hosts[host].is_alive && self.hosts[host].paused_until <= self.now
+    }
+
+    fn enqueue(&mut self, at: u64, link: (usize, usize), packet: Packet) {
+        self.sent += 1;
+        self.packets.insert((at, self.sent), (link.0, link.1, packet));
+    }
+
+    fn send(&mut self, from: usize, to: usize, packet: &Packet) {
+        let is_cut = self.cuts.get(&(from, to)).is_some_and(|until| self.now < *until);
+        let copies = match self.rng.u64(0..100) {
+            roll if is_cut || roll < self.loss_percent => 0,
+            roll if roll < 2 * self.loss_percent => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let at = self.now + self.rng.u64(100..=self.max_delay_us);
+            self.enqueue(at, (from, to), packet.clone());
+        }
+    }
+
+    fn deliver(&mut self) {
+        let later = self.packets.split_off(&(self.now + 1, 0));
+        for ((_, number), (from, to, packet)) in mem::replace(&mut self.packets, later) {
+            if self.hosts[to].is_alive && self.hosts[to].paused_until > self.now {
+                let at = self.hosts[to].paused_until;
+                self.packets.insert((at, number), (from, to, packet));
+            } else if self.hosts[to].is_alive {
+                self.report.datagrams += 1;
+                self.handle(from, to, packet);
+            }
+        }
+    }
+
+    fn handle(&mut self, from: usize, to: usize, packet: Packet) {
+        let now = self.local(to);
+        let peer = self.hosts[from].incarnation;
+        let actions = match packet {
+            Packet::Probe => return self.send(to, from, &Packet::ProbeAck),
+            Packet::ProbeAck => self.hosts[to].machine.peer_heard(now, peer),
+            Packet::Control(message) => self.hosts[to].machine.receive(now, peer, message),
+            Packet::Document(document) => {
+                let host = &mut self.hosts[to];
+                let Ok(actions) = host.machine.adopt(now, Arc::clone(&document)) else {
+                    return;
+                };
+                host.document = document;
+                actions
+            }
+        };
+        self.carry_out(to, actions);
+    }
+
+    fn tick(&mut self, host: usize) {
+        if self.hosts[host].next_tick <= self.now {
+            self.hosts[host].next_tick = self.now + self.rng.u64(20_000..=50_000);
+            let now = self.local(host);
+            let actions = self.hosts[host].machine.tick(now);
+            self.carry_out(host, actions);
+            if let Err(broken) = self.hosts[host].machine.verify(now) {
+                self.violate(&format!("host {host}: {broken}"));
+            }
+        }
+        if (self.now / STEP_US + host as u64).is_multiple_of(PROBE_US / STEP_US) {
+            let others = (0..self.hosts.len()).filter(|other| *other != host);
+            others.for_each(|other| self.send(host, other, &Packet::Probe));
+        }
+        let (ended, running) = mem::take(&mut self.hosts[host].requests)
+            .into_iter()
+            .partition(|request| request.ends_at <= self.now);
+        self.hosts[host].requests = running;
+        let ended: Vec<Request> = ended;
+        ended.into_iter().for_each(|request| self.hosts[host].machine.end(request.ticket));
+    }
+
+    fn carry_out(&mut self, host: usize, actions: Vec<ownership::OwnershipAction>) {
+        for action in actions {
+            match action {
+                ownership::OwnershipAction::Send { to, message } => {
+                    if let Some(to) = self.host_of(to) {
+                        self.send(host, to, &Packet::Control(message));
+                    }
+                }
+                ownership::OwnershipAction::FetchDocument { from, .. } => {
+                    let Some(peer) = self.host_of(from) else {
+                        continue;
+                    };
+                    let document = Arc::clone(&self.hosts[peer].document);
+                    self.send(peer, host, &Packet::Document(document));
+                }
+                ownership::OwnershipAction::CancelWork { work, .. } => {
+                    let ends_at = self.now + self.rng.u64(0..=20_000);
+                    let requests = self.hosts[host].requests.iter_mut();
+                    requests
+                        .filter(|request| request.ticket.work == work)
+                        .for_each(|request| request.ends_at = request.ends_at.min(ends_at));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Begins a request at a host, if the host may serve the key.
+    pub fn request(&mut self, host: usize, hash: u64, millis: u64) -> bool {
+        let now = self.local(host);
+        let host = &mut self.hosts[host];
+        let slice = host.document.locate(CLASS, key::KeyHash(hash));
+        let whole = self.rng.bool().then_some(slice).flatten();
+        let begun = match whole {
+            Some(slice) => host.machine.begin(now, slice),
+            None => host.machine.begin_key(now, CLASS, key::KeyHash(hash)),
+        };
+        let Ok(ticket) = begun else {
+            return false;
+        };
+        host.requests.push(Request { ticket, hash, ends_at: self.now + millis * 1_000 });
+        self.report.works += 1;
+        true
+    }
+
+    fn check(&mut self) {
+        for hash in self.keys() {
+            let servers = self.servers(hash);
+            match servers.len() {
+                0 => self.report.unserved += 1,
+                1 => self.report.served += 1,
+                _ => self.violate(&format!("key {hash:x} has servers {servers:?}")),
+            }
+        }
+    }
+
+    /// Records a broken invariant.
+    pub fn violate(&mut self, violation: &str) {
+        if self.report.violations.len() < MAX_DESCRIBED {
+            self.report.violations.push(format!("at {} us: {violation}", self.now));
+        }
+    }
+}
