--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,4 +11,5 @@
 //! ```
 
 pub mod host;
+pub mod soak;
 pub mod store;
--- a/crates/wire/tests/document.rs
+++ b/crates/wire/tests/document.rs
@@ -38,6 +38,7 @@
         leases: vec![lease(0, &[1, 2]), lease(1, &[0, 2]), lease(2, &[0, 1])],
         classes: vec![assignment::ClassSlices {
             class: Arc::from("quote-desk"),
+            created: ident::EpochNumber(1),
             slices: vec![slice(0, &[0, 1, 2], &[]), slice(1 << 63, &[2, 0], &[1])],
         }],
     }
