Test the record table with random sequences and single steps

A fault in the merge or the copy protocol would only show as a second execution after an unlikely order of messages.

Single steps, limits and malformed input have tests of their own.

--- /dev/null
+++ b/crates/records/tests/table.rs
@@ -0,0 +1,423 @@
+//! Single steps of the record table: each loss, repetition, limit and merge.
+
+use std::collections::BTreeSet;
+
+use arbtest::arbtest;
+use cornelridge_model::{ident, key, outcome, time};
+use cornelridge_records::{
+    AbsorbError, CopyPeer, CopyProgress, CopyRefusal, CopyReply, ExecutionId,
+    MAX_ANSWER_BYTES_TOTAL, MAX_STORED_ANSWER_BYTES, Record, RecordBatch, RecordDecision,
+    RecordRange, RecordRequest, RecordState, RecordTable, RefusalReason, StoredAnswer, SyncState,
+};
+
+const CLASS: &str = "payout-hub";
+const WINDOW: time::Duration = time::Duration::from_secs(600);
+const START: time::Instant = time::Instant(1_000_000_000);
+const OWNER: ident::IncarnationId = ident::IncarnationId(1);
+const SECOND: ident::IncarnationId = ident::IncarnationId(2);
+const THIRD: ident::IncarnationId = ident::IncarnationId(3);
+
+fn everything() -> RecordRange {
+    RecordRange { class: CLASS.into(), first: key::KeyHash(0), last: key::KeyHash(u64::MAX) }
+}
+
+fn table(capacity: usize) -> RecordTable {
+    let mut table = RecordTable::with_capacity(capacity);
+    table.mark_new(&everything());
+    table
+}
+
+fn request(name: usize, execution: u64) -> RecordRequest {
+    let peer = |incarnation| CopyPeer { incarnation, in_other_zone: true };
+    RecordRequest {
+        class: CLASS.into(),
+        hash: key::KeyHash(name as u64 * 1_000),
+        idempotency_key: format!("order-{name}").into(),
+        execution: ExecutionId(execution),
+        window: WINDOW,
+        peers: vec![peer(SECOND), peer(THIRD)],
+    }
+}
+
+fn record(name: usize, execution: u64, state: RecordState) -> Record {
+    let request = request(name, execution);
+    Record {
+        class: request.class,
+        hash: request.hash,
+        idempotency_key: request.idempotency_key,
+        execution: request.execution,
+        state,
+        answer: (state == RecordState::Finished).then(|| answer(3)),
+        age: time::Duration::ZERO,
+    }
+}
+
+fn answer(bytes: usize) -> StoredAnswer {
+    StoredAnswer { status: 201, headers: Vec::new(), body: Some(vec![7; bytes]) }
+}
+
+fn copy_of(decision: RecordDecision) -> Record {
+    match decision {
+        RecordDecision::Replicate { record, .. } => record,
+        other => unreachable!("expected a copy, got {other:?}"),
+    }
+}
+
+/// Starts an execution and collects both acknowledgements.
+fn dispatch(table: &mut RecordTable, name: usize, execution: u64) -> Record {
+    let record = copy_of(table.begin(START, &request(name, execution)));
+    let id = ExecutionId(execution);
+    assert_eq!(table.copied(START, id, SECOND), CopyProgress::Waiting);
+    assert_eq!(table.copied(START, id, THIRD), CopyProgress::Dispatch);
+    record
+}
+
+fn promote(table: &mut RecordTable) {
+    table.promote(START, &everything(), WINDOW);
+}
+
+/// Guards against a second execution, and against a needless refusal, at each step at which the
+/// owner can be lost.
+#[test]
+fn the_successor_knows_how_far_the_lost_owner_came() {
+    let before_copy = {
+        let mut successor = table(8);
+        promote(&mut successor);
+        successor.begin(START, &request(1, 20))
+    };
+    assert!(matches!(before_copy, RecordDecision::Replicate { .. }));
+
+    let mut owner = table(8);
+    let mut successor = table(8);
+    let copy = copy_of(owner.begin(START, &request(1, 10)));
+    assert_eq!(successor.store_copy(START, OWNER, &copy, WINDOW), CopyReply::Stored);
+    promote(&mut successor);
+    assert_eq!(successor.begin(START, &request(1, 20)), RecordDecision::Unknown);
+
+    let mut owner = table(8);
+    let mut successor = table(8);
+    let copy = dispatch(&mut owner, 1, 10);
+    successor.store_copy(START, OWNER, &copy, WINDOW);
+    promote(&mut successor);
+    assert_eq!(successor.begin(START, &request(1, 20)), RecordDecision::Unknown);
+
+    let run = outcome::RequestOutcome::Run;
+    let update = owner.finish(START, ExecutionId(10), run, Some(answer(3))).expect("news");
+    assert_eq!(update.to, [SECOND, THIRD]);
+    successor.store_copy(START, OWNER, &update.record, WINDOW);
+    let stored = RecordDecision::Stored(answer(3).status_only());
+    assert_eq!(successor.begin(START, &request(1, 20)), stored);
+    assert_eq!(owner.begin(START, &request(1, 21)), RecordDecision::Stored(answer(3)));
+}
+
+/// Guards against dispatching when an acknowledgement is late or repeated.
+#[test]
+fn late_and_repeated_acknowledgements_are_ignored() {
+    let mut owner = table(8);
+    let id = ExecutionId(10);
+    owner.begin(START, &request(1, 10));
+    assert_eq!(owner.copied(START, id, SECOND), CopyProgress::Waiting);
+    assert_eq!(owner.copied(START, id, SECOND), CopyProgress::Ignored);
+    assert_eq!(owner.copied(START, id, OWNER), CopyProgress::Ignored);
+    let update = owner.copy_failed(START, id).expect("gives up");
+    assert_eq!(update.record.state, RecordState::Freed);
+    assert_eq!(owner.copied(START, id, THIRD), CopyProgress::Ignored);
+    assert_eq!(owner.copy_failed(START, id), None);
+
+    dispatch(&mut owner, 1, 11);
+    assert_eq!(owner.copied(START, ExecutionId(11), THIRD), CopyProgress::Ignored);
+    assert_eq!(owner.copy_failed(START, ExecutionId(11)), None, "it was dispatched");
+    assert_eq!(owner.begin(START, &request(1, 12)), RecordDecision::InFlight);
+    assert_eq!(owner.copied(START, ExecutionId(99), SECOND), CopyProgress::Ignored);
+}
+
+/// Guards against a replica that acknowledges an execution which its owner has given up, when the
+/// notice overtakes the copy.
+#[test]
+fn a_copy_that_arrives_after_its_notice_is_refused() {
+    let mut owner = table(8);
+    let mut replica = table(8);
+    let copy = copy_of(owner.begin(START, &request(1, 10)));
+    let update = owner.copy_failed(START, ExecutionId(10)).expect("gives up");
+    replica.store_copy(START, OWNER, &update.record, WINDOW);
+    let reply = replica.store_copy(START, OWNER, &copy, WINDOW);
+    assert_eq!(reply, CopyReply::Refused(CopyRefusal::GivenUp));
+    let next = copy_of(owner.begin(START, &request(1, 11)));
+    assert_eq!(replica.store_copy(START, OWNER, &next, WINDOW), CopyReply::Stored);
+    promote(&mut replica);
+    assert_eq!(replica.begin(START, &request(1, 12)), RecordDecision::Unknown);
+}
+
+/// Guards against two owners that both get a replica's acknowledgement for one request.
+#[test]
+fn a_replica_arbitrates_between_two_issuers() {
+    let mut replica = table(8);
+    let first = record(1, 10, RecordState::Started);
+    let second = record(1, 20, RecordState::Started);
+    assert_eq!(replica.store_copy(START, OWNER, &first, WINDOW), CopyReply::Stored);
+    let conflict = CopyReply::Refused(CopyRefusal::Conflict);
+    assert_eq!(replica.store_copy(START, SECOND, &second, WINDOW), conflict);
+    assert_eq!(replica.store_copy(START, OWNER, &first, WINDOW), CopyReply::Stored);
+    promote(&mut replica);
+    assert_eq!(replica.store_copy(START, OWNER, &first, WINDOW), conflict, "taken over");
+}
+
+/// Guards against a dispatch after a transfer has shown that another owner may have executed.
+#[test]
+fn a_waiting_execution_is_given_up_when_another_one_appears() {
+    let mut owner = table(8);
+    owner.begin(START, &request(1, 10));
+    let records = vec![record(1, 20, RecordState::Unknown)];
+    let batch = RecordBatch { records, next: None, complete: true };
+    owner.absorb(START, &everything(), SECOND, &batch, WINDOW).expect("valid");
+    assert_eq!(owner.copied(START, ExecutionId(10), SECOND), CopyProgress::Ignored);
+    assert_eq!(owner.copied(START, ExecutionId(10), THIRD), CopyProgress::Ignored);
+    assert_eq!(owner.begin(START, &request(1, 11)), RecordDecision::Unknown);
+}
+
+/// Guards against a merge whose result depends on the order of the messages.
+#[test]
+fn merging_does_not_depend_on_order() {
+    let states =
+        [RecordState::Started, RecordState::Unknown, RecordState::Freed, RecordState::Finished];
+    for seed in (0..200u64).map(|index| (index + 77) << 32 | 0x100) {
+        arbtest(|u| {
+            let count = u.int_in_range(1..=8)?;
+            let mut records = Vec::new();
+            for _ in 0..count {
+                let execution = u.int_in_range(1..=3)?;
+                records.push(record(1, execution, *u.choose(&states)?));
+            }
+            let decide = |records: &[Record]| {
+                let mut table = table(8);
+                for chunk in records.chunks(2) {
+                    let records = chunk.to_vec();
+                    let batch = RecordBatch { records, next: None, complete: true };
+                    table.absorb(START, &everything(), SECOND, &batch, WINDOW).expect("valid");
+                }
+                promote(&mut table);
+                table.begin(START, &request(1, 99))
+            };
+            let forward = decide(&records);
+            records.reverse();
+            assert_eq!(forward, decide(&records));
+            let is_freed = |execution: ExecutionId| {
+                let same = |other: &&Record| other.execution == execution;
+                records.iter().filter(same).any(|other| other.state == RecordState::Freed)
+            };
+            let has_finished = records.iter().any(|r| r.state == RecordState::Finished);
+            let may_have_run = has_finished || records.iter().any(|r| !is_freed(r.execution));
+            assert_eq!(may_have_run, !matches!(forward, RecordDecision::Replicate { .. }));
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
+
+/// Guards against forgetting an execution when more of them are seen than are kept.
+#[test]
+fn more_executions_than_are_kept_stay_unknown() {
+    let mut replica = table(8);
+    for execution in 1..=6 {
+        let copy = record(1, execution, RecordState::Started);
+        replica.store_copy(START, OWNER, &copy, WINDOW);
+    }
+    for execution in 1..=6 {
+        let notice = record(1, execution, RecordState::Freed);
+        replica.store_copy(START, OWNER, &notice, WINDOW);
+    }
+    promote(&mut replica);
+    assert_eq!(replica.begin(START, &request(1, 9)), RecordDecision::Unknown);
+    let mut joined = table(8);
+    let batch = replica.range(START, &everything(), None, THIRD);
+    joined.absorb(START, &everything(), SECOND, &batch, WINDOW).expect("valid");
+    assert_eq!(joined.begin(START, &request(1, 9)), RecordDecision::Unknown);
+}
+
+/// Guards against unbounded memory, and against refusing while freed records could make room.
+#[test]
+fn a_full_table_refuses_until_records_expire() {
+    let mut owner = table(3);
+    (0..3).for_each(|name| drop(dispatch(&mut owner, name, name as u64 + 1)));
+    let full = RecordDecision::Refused(RefusalReason::TableFull);
+    assert_eq!(owner.begin(START, &request(3, 10)), full);
+    let copy = record(4, 11, RecordState::Started);
+    let refused = CopyReply::Refused(CopyRefusal::TableFull);
+    assert_eq!(owner.store_copy(START, OWNER, &copy, WINDOW), refused);
+
+    owner.free(START, ExecutionId(1)).expect("news");
+    assert!(matches!(owner.begin(START, &request(3, 12)), RecordDecision::Replicate { .. }));
+    assert_eq!(owner.len(), 3);
+
+    let run = outcome::RequestOutcome::Run;
+    owner.finish(START, ExecutionId(2), run, None).expect("news");
+    let later = START + WINDOW;
+    owner.expire(later);
+    assert_eq!(owner.len(), 1, "only the execution in flight is kept");
+    assert_eq!(owner.begin(later, &request(2, 20)), RecordDecision::InFlight);
+    owner.finish(later, ExecutionId(3), run, None).expect("news");
+    owner.expire(later + WINDOW);
+    assert!(owner.is_empty());
+}
+
+/// Guards against answers that take more memory than a node has.
+#[test]
+fn stored_answers_are_bounded_one_by_one_and_together() {
+    let mut owner = table(2_000);
+    let run = outcome::RequestOutcome::Run;
+    dispatch(&mut owner, 0, 1);
+    owner.finish(START, ExecutionId(1), run, Some(answer(MAX_STORED_ANSWER_BYTES + 1)));
+    let reduced = RecordDecision::Stored(answer(1).status_only());
+    assert_eq!(owner.begin(START, &request(0, 2)), reduced);
+
+    let count = MAX_ANSWER_BYTES_TOTAL / MAX_STORED_ANSWER_BYTES + 10;
+    for name in 1..=count {
+        let execution = name as u64 + 10;
+        dispatch(&mut owner, name, execution);
+        let whole = answer(MAX_STORED_ANSWER_BYTES);
+        owner.finish(START, ExecutionId(execution), run, Some(whole));
+        assert!(owner.answer_bytes() <= MAX_ANSWER_BYTES_TOTAL);
+    }
+    assert_eq!(owner.begin(START, &request(1, 5)), reduced, "the oldest was reduced");
+    let newest = RecordDecision::Stored(answer(MAX_STORED_ANSWER_BYTES));
+    assert_eq!(owner.begin(START, &request(count, 5)), newest);
+    owner.expire(START + WINDOW);
+    assert_eq!(owner.answer_bytes(), 0);
+}
+
+/// Guards against serving non-idempotent requests without the records of the slice.
+#[test]
+fn a_takeover_without_records_refuses_until_the_window_has_passed() {
+    let mut node = RecordTable::new();
+    let refused = RecordDecision::Refused(RefusalReason::NotSynced);
+    assert_eq!(node.begin(START, &request(1, 1)), refused);
+    node.begin_sync(&everything(), OWNER);
+    assert_eq!(node.begin(START, &request(1, 1)), refused);
+    node.promote(START, &everything(), WINDOW);
+    let end = START + WINDOW;
+    let state = node.sync_state(START, CLASS, key::KeyHash(5));
+    assert_eq!(state, SyncState::UnsyncedUntil(end));
+    assert_eq!(node.begin(time::Instant(end.0 - 1), &request(1, 1)), refused);
+    assert!(matches!(node.begin(end, &request(1, 1)), RecordDecision::Replicate { .. }));
+}
+
+/// Guards against counting as synced after an incomplete or interrupted transfer.
+#[test]
+fn only_a_complete_transfer_makes_a_range_synced() {
+    let mut node = RecordTable::new();
+    let half = RecordRange { last: key::KeyHash(u64::MAX / 2), ..everything() };
+    node.begin_sync(&half, OWNER);
+    let batch = RecordBatch { records: Vec::new(), next: None, complete: false };
+    let incomplete = node.absorb(START, &half, OWNER, &batch, WINDOW);
+    assert_eq!(incomplete, Err(AbsorbError::Incomplete));
+    assert_eq!(node.sync_state(START, CLASS, half.last), SyncState::Missing);
+
+    node.begin_sync(&half, OWNER);
+    let batch = RecordBatch { complete: true, ..batch };
+    assert_eq!(node.absorb(START, &half, SECOND, &batch, WINDOW), Ok(()));
+    assert_eq!(node.sync_state(START, CLASS, half.last), SyncState::Syncing(OWNER));
+    assert_eq!(node.absorb(START, &half, OWNER, &batch, WINDOW), Ok(()));
+    assert_eq!(node.sync_state(START, CLASS, half.last), SyncState::Synced);
+    let beyond = key::KeyHash(half.last.0 + 1);
+    assert_eq!(node.sync_state(START, CLASS, beyond), SyncState::Missing);
+
+    let whole = node.range(START, &everything(), None, THIRD);
+    assert!(!whole.complete, "half of the range is missing");
+    assert!(node.range(START, &half, None, THIRD).complete);
+    node.forget(&half);
+    assert!(!node.range(START, &half, None, THIRD).complete);
+}
+
+/// Guards against lost or repeated records when a transfer needs several batches, and against a
+/// listener that isn't told how an execution in flight ended.
+#[test]
+fn a_transfer_carries_every_record_once() {
+    let mut owner = table(3_000);
+    let run = outcome::RequestOutcome::Run;
+    for name in 0..2_000 {
+        dispatch(&mut owner, name, name as u64 + 1);
+        if name % 2 == 0 {
+            owner.finish(START, ExecutionId(name as u64 + 1), run, Some(answer(100)));
+        }
+    }
+    let mut node = RecordTable::new();
+    let joined = ident::IncarnationId(9);
+    node.begin_sync(&everything(), OWNER);
+    let (mut after, mut seen, mut batches) = (None, BTreeSet::new(), 0);
+    loop {
+        let batch = owner.range(START, &everything(), after.as_ref(), joined);
+        batches += 1;
+        for record in &batch.records {
+            assert!(seen.insert(record.execution), "sent twice");
+        }
+        node.absorb(START, &everything(), OWNER, &batch, WINDOW).expect("valid");
+        after = batch.next;
+        if after.is_none() {
+            break;
+        }
+    }
+    assert!(batches > 2);
+    assert_eq!((seen.len(), node.len()), (2_000, 2_000));
+    assert_eq!(node.begin(START, &request(2, 9_999)), RecordDecision::Stored(answer(100)));
+    assert_eq!(node.begin(START, &request(1, 9_999)), RecordDecision::Unknown);
+    let update = owner.finish(START, ExecutionId(2), run, Some(answer(5))).expect("news");
+    assert!(update.to.contains(&joined));
+}
+
+/// Guards against panics and overflow from records and ranges that arrive over the network.
+#[test]
+fn malformed_input_is_refused() {
+    let mut node = table(8);
+    let inverted =
+        RecordRange { first: key::KeyHash(9), last: key::KeyHash(3), class: CLASS.into() };
+    let batch = node.range(START, &inverted, None, THIRD);
+    assert!(batch.records.is_empty() && !batch.complete);
+    node.begin_sync(&inverted, OWNER);
+    node.promote(START, &inverted, WINDOW);
+    node.forget(&inverted);
+
+    let outside = vec![record(7, 1, RecordState::Unknown)];
+    let batch = RecordBatch { records: outside, next: None, complete: true };
+    let first = RecordRange { last: key::KeyHash(10), ..everything() };
+    let taken = node.absorb(START, &first, OWNER, &batch, WINDOW);
+    assert_eq!(taken, Err(AbsorbError::Invalid));
+
+    let long_key = Record {
+        idempotency_key: "x".repeat(300).into(),
+        age: time::Duration(u64::MAX),
+        ..record(1, 1, RecordState::Started)
+    };
+    let invalid = CopyReply::Refused(CopyRefusal::Invalid);
+    assert_eq!(node.store_copy(START, OWNER, &long_key, WINDOW), invalid);
+    let large = Record {
+        answer: Some(answer(MAX_STORED_ANSWER_BYTES + 1)),
+        ..record(1, 1, RecordState::Finished)
+    };
+    assert_eq!(node.store_copy(START, OWNER, &large, WINDOW), invalid);
+    let mut empty_key = request(1, 1);
+    empty_key.idempotency_key = "".into();
+    let refused = RecordDecision::Refused(RefusalReason::InvalidKey);
+    assert_eq!(node.begin(START, &empty_key), refused);
+}
+
+/// Guards against a single copy in the owner's own zone, which a lost zone would take with it.
+#[test]
+fn a_copy_in_another_zone_is_required() {
+    let mut owner = table(8);
+    let mut near = request(1, 1);
+    near.peers.iter_mut().for_each(|peer| peer.in_other_zone = false);
+    let refused = RecordDecision::Refused(RefusalReason::NoReplica);
+    assert_eq!(owner.begin(START, &near), refused);
+
+    near.peers[1].in_other_zone = true;
+    owner.begin(START, &near);
+    assert_eq!(owner.copied(START, ExecutionId(1), SECOND), CopyProgress::Waiting);
+    assert_eq!(owner.excuse(START, ExecutionId(1), THIRD), CopyProgress::NoReplica);
+    owner.free(START, ExecutionId(1)).expect("news");
+
+    let mut far = request(2, 2);
+    far.peers[0].in_other_zone = false;
+    owner.begin(START, &far);
+    assert_eq!(owner.copied(START, ExecutionId(2), THIRD), CopyProgress::Waiting);
+    assert_eq!(owner.excuse(START, ExecutionId(2), SECOND), CopyProgress::Dispatch);
+}
