Add cornelctl

Cause: operators need a command for classes, status, drain and retirement. Change: cornelctl sends requests to the operator address of one node with hyper on smol. put keeps fields without a flag and carries the revision that was read; a file has the revision of classes show.

--- /dev/null
+++ b/crates/cli/src/client.rs
@@ -0,0 +1,142 @@
+//! HTTP client for the operators' endpoint of one node.
+
+use std::net;
+use std::time;
+
+use bytes::Bytes;
+use cornelridge_model::ident;
+use cornelridge_model::report;
+use http::header;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use serde::de;
+use smol::future;
+use smol_hyper::rt::FuturesIo;
+
+use crate::command;
+use crate::failure;
+
+/// Time to connect.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// Time for the answer; longer than the 15 s after which a node gives up.
+const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(20);
+/// Largest answer, in bytes; a dump is the largest.
+const MAX_ANSWER_BYTES: usize = 16 * 1_024 * 1_024;
+
+/// Sends requests to one node, each on its own connection.
+pub(crate) struct OperatorClient<'a> {
+    address: net::SocketAddr,
+    token: &'a command::BearerToken,
+}
+
+/// One request.
+pub(crate) struct OperatorCall {
+    method: Method,
+    path: String,
+    expected: Option<ident::RevisionNumber>,
+    body: Bytes,
+}
+
+impl OperatorCall {
+    pub(crate) fn new(method: Method, path: impl Into<String>) -> OperatorCall {
+        OperatorCall { method, path: path.into(), expected: None, body: Bytes::new() }
+    }
+
+    pub(crate) fn get(path: impl Into<String>) -> OperatorCall {
+        OperatorCall::new(Method::GET, path)
+    }
+
+    pub(crate) fn expecting(mut self, revision: ident::RevisionNumber) -> OperatorCall {
+        self.expected = Some(revision);
+        self
+    }
+
+    pub(crate) fn body(mut self, body: impl Into<Bytes>) -> OperatorCall {
+        self.body = body.into();
+        self
+    }
+}
+
+impl<'a> OperatorClient<'a> {
+    pub(crate) fn new(request: &'a command::CommandRequest) -> OperatorClient<'a> {
+        OperatorClient { address: request.address, token: &request.token }
+    }
+
+    /// Sends `call` and reads its answer as JSON.
+    pub(crate) async fn call<T: de::DeserializeOwned>(
+        &self,
+        call: OperatorCall,
+    ) -> Result<T, failure::CommandFailure> {
+        let is_read = call.method == Method::GET;
+        let stream = self.connect().await?;
+        let request = self.request(call)?;
+        let expire = async {
+            smol::Timer::after(ANSWER_TIMEOUT).await;
+            Err(format!("no answer within {} s", ANSWER_TIMEOUT.as_secs()))
+        };
+        let address = self.address;
+        let answer = future::or(exchange(stream, request), expire).await;
+        let (status, body) = answer.map_err(|problem| match is_read {
+            true => failure::CommandFailure::Read { address, problem },
+            false => failure::CommandFailure::Unanswered { address, problem },
+        })?;
+        let unreadable = |error: serde_json::Error| failure::CommandFailure::Answer {
+            address,
+            problem: format!("status {status}, {error}"),
+        };
+        if status.is_success() {
+            return serde_json::from_slice(&body).map_err(unreadable);
+        }
+        let refused: report::ErrorReport = serde_json::from_slice(&body).map_err(unreadable)?;
+        Err(failure::CommandFailure::Refused(Box::new(refused)))
+    }
+
+    async fn connect(&self) -> Result<smol::net::TcpStream, failure::CommandFailure> {
+        let expire = async {
+            smol::Timer::after(CONNECT_TIMEOUT).await;
+            Err(std::io::ErrorKind::TimedOut.into())
+        };
+        let stream = future::or(smol::net::TcpStream::connect(self.address), expire).await;
+        let address = self.address;
+        stream.map_err(|error| failure::CommandFailure::Connect {
+            address,
+            problem: error.to_string(),
+        })
+    }
+
+    fn request(&self, call: OperatorCall) -> Result<Request<Full<Bytes>>, failure::CommandFailure> {
+        let mut builder = Request::builder()
+            .method(call.method)
+            .uri(call.path)
+            .header(header::HOST, self.address.to_string())
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.token.0));
+        if let Some(revision) = call.expected {
+            builder = builder.header(header::IF_MATCH, format!("\"{revision}\""));
+        }
+        builder.body(Full::new(call.body)).map_err(|error| {
+            failure::CommandFailure::usage(error.to_string(), "Check the names in the command.")
+        })
+    }
+}
+
+async fn exchange(
+    stream: smol::net::TcpStream,
+    request: Request<Full<Bytes>>,
+) -> Result<(StatusCode, Bytes), String> {
+    let handshake = http1::handshake(FuturesIo::new(stream)).await;
+    let (mut sender, connection) = handshake.map_err(|error| error.to_string())?;
+    let drive = async {
+        // The request reports the error of its connection.
+        let _ = connection.await;
+        future::pending().await
+    };
+    let answer = async {
+        let answer = sender.send_request(request).await.map_err(|error| error.to_string())?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect().await;
+        let body = body.map_err(|error| error.to_string())?;
+        Ok((status, body.to_bytes()))
+    };
+    future::or(answer, drive).await
+}
--- /dev/null
+++ b/crates/cli/src/execute.rs
@@ -0,0 +1,190 @@
+//! Runs a command and returns the text to print.
+
+use std::collections::BTreeMap;
+
+use cornelridge_model::class;
+use cornelridge_model::ident;
+use cornelridge_model::report;
+use http::Method;
+use serde_json::{Map, Value};
+
+use crate::client;
+use crate::command;
+use crate::failure;
+use crate::table;
+
+/// Runs the command.
+pub(crate) async fn execute(
+    request: &command::CommandRequest,
+) -> Result<String, failure::CommandFailure> {
+    let client = client::OperatorClient::new(request);
+    let is_json = request.output == command::OutputFormat::Json;
+    match &request.command {
+        command::Command::List => {
+            let document: class::ClassDocument =
+                client.call(client::OperatorCall::get("/classes")).await?;
+            Ok(if is_json { table::json(&document) } else { table::classes(&document) })
+        }
+        command::Command::Show { name } => {
+            let path = format!("/classes/{}", encode(name));
+            let shown: report::ClassReport = client.call(client::OperatorCall::get(path)).await?;
+            Ok(if is_json { table::json(&shown) } else { table::class(&shown) })
+        }
+        command::Command::Put { name, source, expected } => {
+            let change = put(&client, name, source, *expected).await?;
+            Ok(if is_json { table::json(&change) } else { table::change(name, change) })
+        }
+        command::Command::Delete { name, expected } => {
+            let path = format!("/classes/{}", encode(name));
+            let call = client::OperatorCall::new(Method::DELETE, path).expecting(*expected);
+            let change: report::ChangeReport = client.call(call).await?;
+            Ok(if is_json { table::json(&change) } else { table::change(name, change) })
+        }
+        command::Command::Status => {
+            let status: report::StatusReport =
+                client.call(client::OperatorCall::get("/status")).await?;
+            Ok(if is_json { table::json(&status) } else { table::status(&status) })
+        }
+        command::Command::Dump { node } => {
+            let path = format!("/dump?{}", query(&[("node", node)]));
+            let state: Value = client.call(client::OperatorCall::get(path)).await?;
+            Ok(table::json(&state))
+        }
+        command::Command::Drain { node } => {
+            let path = format!("/drain?{}", query(&[("node", node)]));
+            let call = client::OperatorCall::new(Method::POST, path);
+            let drain: report::DrainReport = client.call(call).await?;
+            Ok(if is_json { table::json(&drain) } else { table::drain(&drain) })
+        }
+        command::Command::Owner { class, key } => {
+            let path = format!("/owner?{}", query(&[("class", class), ("key", key)]));
+            let owner: report::OwnerReport = client.call(client::OperatorCall::get(path)).await?;
+            Ok(if is_json { table::json(&owner) } else { table::owner(&owner) })
+        }
+        command::Command::Retire { node } => {
+            let body = report::RetireRequest { node: node.as_str().into(), confirmed_dead: true };
+            let call = client::OperatorCall::new(Method::POST, "/retire").body(table::json(&body));
+            let retired: report::RetireReport = client.call(call).await?;
+            Ok(if is_json { table::json(&retired) } else { table::retired(&retired) })
+        }
+    }
+}
+
+async fn put(
+    client: &client::OperatorClient<'_>,
+    name: &str,
+    source: &command::ClassSource,
+    expected: Option<ident::RevisionNumber>,
+) -> Result<report::ChangeReport, failure::CommandFailure> {
+    let document: class::ClassDocument = client.call(client::OperatorCall::get("/classes")).await?;
+    let (class, read) = match source {
+        command::ClassSource::Flags(flags) => {
+            (class_of_flags(name, flags, document.class(name))?, Some(document.revision))
+        }
+        command::ClassSource::File(text) => {
+            let (class, read) = class_of_file(name, text)?;
+            let is_new = document.class(name).is_none();
+            (class, read.or(is_new.then_some(document.revision)))
+        }
+    };
+    class.validate()?;
+    let Some(expected) = expected.or(read) else {
+        let problem = format!("class {name} exists, and the file has no revision");
+        let remedy = "Edit the output of cornelctl classes show NAME --output json, or add \
+                      --expected-revision.";
+        return Err(failure::CommandFailure::usage(problem, remedy));
+    };
+    let path = format!("/classes/{}", encode(name));
+    let call = client::OperatorCall::new(Method::PUT, path).expecting(expected);
+    client.call(call.body(table::json(&class))).await
+}
+
+/// The class with the fields that have a flag; other fields keep their values.
+fn class_of_flags(
+    name: &str,
+    flags: &BTreeMap<&'static str, String>,
+    present: Option<&class::ClassConfig>,
+) -> Result<class::ClassConfig, failure::CommandFailure> {
+    const REQUIRED: [&str; 5] =
+        ["division", "idempotent", "target-ms", "deadline-ms", "yield-rank"];
+    let missing: Vec<_> = REQUIRED
+        .iter()
+        .filter(|flag| !flags.contains_key(**flag))
+        .map(|flag| format!("--{flag}"))
+        .collect();
+    if present.is_none() && !missing.is_empty() {
+        let problem = format!("class {name} does not exist yet");
+        let remedy = format!("To add it, set {} too.", missing.join(", "));
+        return Err(failure::CommandFailure::usage(problem, remedy));
+    }
+    let mut fields = match present.map(serde_json::to_value) {
+        Some(Ok(Value::Object(fields))) => fields,
+        _ => Map::new(),
+    };
+    fields.insert("name".to_owned(), name.into());
+    let mut problems = Vec::new();
+    for (flag, text) in flags {
+        // Numbers and `true` are JSON already; names such as `by-key` are not.
+        let value = serde_json::from_str(text).unwrap_or_else(|_| Value::from(text.as_str()));
+        let field = flag.replace('-', "_");
+        if let Err(error) = check_field(&field, &value) {
+            problems.push(format!("--{flag} has the value {text:?} ({error})"));
+        }
+        fields.insert(field, value);
+    }
+    let wrong = |problem| {
+        failure::CommandFailure::usage(
+            problem,
+            "Correct the value; --help lists the values of each flag.",
+        )
+    };
+    if !problems.is_empty() {
+        return Err(wrong(problems.join("\n")));
+    }
+    serde_json::from_value(Value::Object(fields)).map_err(|error| wrong(error.to_string()))
+}
+
+/// Checks the type of one field in a class that is valid otherwise, so that errors name the flag.
+fn check_field(field: &str, value: &Value) -> Result<(), serde_json::Error> {
+    let mut class = serde_json::json!({
+        "name": "any", "division": "by-key", "idempotent": true,
+        "target_ms": 1, "deadline_ms": 1, "yield_rank": 0,
+    });
+    class[field] = value.clone();
+    serde_json::from_value::<class::ClassConfig>(class).map(drop)
+}
+
+/// The class of a file, and the revision if the file has one.
+fn class_of_file(
+    name: &str,
+    text: &str,
+) -> Result<(class::ClassConfig, Option<ident::RevisionNumber>), failure::CommandFailure> {
+    let unreadable = |error: serde_json::Error| {
+        let problem = format!("the file is not a class: {error}");
+        failure::CommandFailure::usage(
+            problem,
+            "Use JSON as cornelctl classes show --output json prints it.",
+        )
+    };
+    let value: Value = serde_json::from_str(text).map_err(unreadable)?;
+    let (class, read) = if value.get("class").is_some() {
+        let shown: report::ClassReport = serde_json::from_value(value).map_err(unreadable)?;
+        (shown.class, Some(shown.revision))
+    } else {
+        let class: class::ClassConfig = serde_json::from_value(value).map_err(unreadable)?;
+        (class, None)
+    };
+    if &*class.name != name {
+        let problem = format!("the command names class {name:?}, the file {:?}", class.name);
+        return Err(failure::CommandFailure::usage(problem, "Use the same name in both."));
+    }
+    Ok((class, read))
+}
+
+fn query(pairs: &[(&str, &String)]) -> String {
+    form_urlencoded::Serializer::new(String::new()).extend_pairs(pairs).finish()
+}
+
+fn encode(name: &str) -> String {
+    form_urlencoded::byte_serialize(name.as_bytes()).collect()
+}
