Report the leases of a retired node

Cause: a node may hold two generations of its lease, and the operator should see each lease that was declared expired. Change: RetireReport has the leases instead of the incarnation; the labels in the comments of metrics follow what the request path records.

--- a/crates/cli/src/table.rs
+++ b/crates/cli/src/table.rs
@@ -137,10 +137,11 @@
 
 /// A retired node.
 pub(crate) fn retired(retired: &report::RetireReport) -> String {
+    let leases: Vec<_> = retired.leases.iter().map(ToString::to_string).collect();
     format!(
-        "node {} ({}): its leases count as expired from epoch {} on\n",
+        "node {}: leases {} count as expired from epoch {} on\n",
         plain(&retired.node),
-        retired.incarnation,
+        leases.join(", "),
         retired.epoch
     )
 }
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -168,9 +168,9 @@
 pub struct RetireReport {
     /// Name of the node.
     pub node: Arc<str>,
-    /// The run that was declared dead.
-    pub incarnation: ident::IncarnationId,
-    /// Epoch from which on its leases count as expired.
+    /// The leases that were declared expired.
+    pub leases: Vec<ident::LeaseId>,
+    /// Epoch from which on they count as expired.
     pub epoch: ident::EpochNumber,
 }
 
--- a/crates/node/src/metering.rs
+++ b/crates/node/src/metering.rs
@@ -6,11 +6,11 @@
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use thiserror::Error;
 
-/// Requests from callers that ended; labels `class` and `outcome`.
+/// Requests from callers that ended; labels `class` and `outcome` (`answered`, `cut`, `failed`).
 pub const REQUESTS: &str = "cornelridge_requests_total";
 /// Time from the head of a caller's request to the end of its response; label `class`.
 pub const REQUEST_SECONDS: &str = "cornelridge_request_seconds";
-/// Requests that were refused; labels `class` and `kind`, the kind of the error.
+/// Requests that failed; labels `class` and `reason`, the kind of the error.
 pub const REFUSALS: &str = "cornelridge_refusals_total";
 /// Repeated attempts; label `class`.
 pub const RETRIES: &str = "cornelridge_retries_total";
@@ -26,7 +26,7 @@
 pub const UPSTREAM_SECONDS: &str = "cornelridge_upstream_seconds";
 /// Requests that the upstream may have in flight now; label `class`.
 pub const CONCURRENCY_LIMIT: &str = "cornelridge_concurrency_limit_requests";
-/// Times that the upstream was lost; label `class`.
+/// Times that the upstream was lost.
 pub const UPSTREAM_LOSSES: &str = "cornelridge_upstream_losses_total";
 /// Fingerprints of requests that are refused because they crash upstreams.
 pub const QUARANTINED: &str = "cornelridge_quarantined_requests";
@@ -34,9 +34,9 @@
 pub const LEASE_HELD: &str = "cornelridge_lease_held";
 /// Times that the node lost its lease.
 pub const LEASE_LOSSES: &str = "cornelridge_lease_losses_total";
-/// Slices that the node serves; label `class`.
+/// Slices that the node serves.
 pub const SLICES: &str = "cornelridge_slices";
-/// Slices that the node took over from an expired owner; label `class`.
+/// Slices that the node took over from an expired owner.
 pub const TAKEOVERS: &str = "cornelridge_takeovers_total";
 /// At-most-once records in memory.
 pub const RECORDS: &str = "cornelridge_records";
@@ -44,7 +44,7 @@
 pub const EPOCH: &str = "cornelridge_epoch";
 /// Revision of the configuration in force.
 pub const REVISION: &str = "cornelridge_class_revision";
-/// Calls to the store; labels `call` and `result`.
+/// Calls to the store.
 pub const STORE_CALLS: &str = "cornelridge_store_calls_total";
 /// Bytes of control messages and documents; label `direction`, `sent` or `received`.
 pub const CONTROL_BYTES: &str = "cornelridge_control_bytes_total";
@@ -89,7 +89,7 @@
 pub const METERS: &[MeterSpec] = &[
     spec(REQUESTS, MeterKind::Counter, Unit::Count, "requests from callers that ended"),
     spec(REQUEST_SECONDS, MeterKind::Histogram, Unit::Seconds, "time of callers' requests"),
-    spec(REFUSALS, MeterKind::Counter, Unit::Count, "requests that were refused"),
+    spec(REFUSALS, MeterKind::Counter, Unit::Count, "requests that failed"),
     spec(RETRIES, MeterKind::Counter, Unit::Count, "repeated attempts"),
     spec(HEDGES, MeterKind::Counter, Unit::Count, "hedged attempts"),
     spec(IN_FLIGHT, MeterKind::Gauge, Unit::Count, "requests at the upstream"),
