Hedge slow idempotent requests and prove expiries to peers

Cause: a class that misses its target had no second attempt, and an ingress node kept asking a lost owner first until the request failed there. Change: the hedge policy sends a second attempt within the retry budget; a successor sends the evidence of an expiry to all members once.

--- a/crates/node/src/execution.rs
+++ b/crates/node/src/execution.rs
@@ -36,7 +36,7 @@
     /// Every replica has the record: the request may be sent.
     Run(ExecutionRecord),
     /// The request was executed before.
-    Stored(request::RequestAnswer),
+    Stored(Box<request::RequestAnswer>),
 }
 
 impl ExecutionRecord {
@@ -159,7 +159,7 @@
     let decision = context.records().begin(context.clock.now(), &request);
     let (record, to) = match decision {
         records::RecordDecision::Replicate { record, to } => (record, to),
-        other => return earlier(other).map(ExecutionStart::Stored),
+        other => return earlier(other).map(Box::new).map(ExecutionStart::Stored),
     };
     let execution = ExecutionRecord { context: Arc::clone(context), id, is_open: true };
     let record = Arc::new(record);
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -49,13 +49,16 @@
         let message = format!("class {:?} does not exist", head.class);
         return Err(RequestFailure::not_run(FailureKind::UnknownClass, message));
     };
-    context.policies.started(context.clock.now(), class);
+    let hedge_delay = context.policies.started(context.clock.now(), class);
     let mut route = RoutePlan::new(class.is_sliced());
     loop {
         let copy = source.try_clone();
         let target = route.next(context, &head, class);
         let result = match target {
-            Some(target) => attempt(context, &head, source, class, target).await,
+            Some(target) => {
+                let attempts = HedgedAttempt { context, head: &head, class, delay: hedge_delay };
+                attempts.run(source, target, &mut route).await
+            }
             None => Err(route.nobody(&head.class)),
         };
         let failure = match result {
@@ -172,6 +175,60 @@
     }
 }
 
+/// One attempt, followed by a second one on another worker when it takes unusually long.
+struct HedgedAttempt<'a> {
+    context: &'a Arc<context::NodeContext>,
+    head: &'a request::RequestHead,
+    class: &'a class::ClassConfig,
+    delay: Option<time::Duration>,
+}
+
+type AttemptResult = Result<request::RequestAnswer, RequestFailure>;
+
+impl HedgedAttempt<'_> {
+    async fn run(
+        &self,
+        source: body::BodySource,
+        target: ident::IncarnationId,
+        route: &mut RoutePlan,
+    ) -> AttemptResult {
+        let copy = source.try_clone().filter(|_| !self.class.is_sliced());
+        let first = attempt(self.context, self.head, source, self.class, target);
+        let (Some(delay), Some(copy)) = (self.delay, copy) else { return first.await };
+        let mut first = pin::pin!(first);
+        let wait = async {
+            self.context.sleep(delay).await;
+            None
+        };
+        if let Some(result) = async { Some(first.as_mut().await) }.or(wait).await {
+            return result;
+        }
+        let now = self.context.clock.now();
+        if !self.context.policies.try_hedge(now, self.class, self.head.deadline) {
+            return first.await;
+        }
+        let Some(other) = route.next(self.context, self.head, self.class) else {
+            return first.await;
+        };
+        self.context.meter.hedged(&self.head.class);
+        let second = attempt(self.context, self.head, copy, self.class, other);
+        first_answer(first, pin::pin!(second)).await
+    }
+}
+
+/// The first answer of two attempts; a failure waits for the other attempt.
+async fn first_answer(
+    mut first: pin::Pin<&mut impl Future<Output = AttemptResult>>,
+    mut second: pin::Pin<&mut impl Future<Output = AttemptResult>>,
+) -> AttemptResult {
+    let ended = async { (first.as_mut().await, true) };
+    match ended.or(async { (second.as_mut().await, false) }).await {
+        (Ok(answer), _) => Ok(answer),
+        (Err(_), true) => second.await,
+        (Err(_), false) => first.await,
+    }
+}
+
 async fn attempt(
     context: &Arc<context::NodeContext>,
     head: &request::RequestHead,
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -48,7 +48,7 @@
     };
     let admitted = match admitted? {
         Admitted::Run(admitted) => admitted,
-        Admitted::Stored(answer) => return Ok(answer),
+        Admitted::Stored(answer) => return Ok(*answer),
     };
     dispatch(context, head, class, source, admitted).await
 }
@@ -63,7 +63,7 @@
 
 enum Admitted {
     Run(AdmittedRequest),
-    Stored(request::RequestAnswer),
+    Stored(Box<request::RequestAnswer>),
 }
 
 async fn admit(
@@ -83,7 +83,7 @@
     if !class.idempotent
         && let Some(answer) = execution::find(context, head, class)?
     {
-        return Ok(Admitted::Stored(answer));
+        return Ok(Admitted::Stored(Box::new(answer)));
     }
     let fingerprint = quarantine::RequestFingerprint(head.fingerprint(source));
     let upstream = context.upstream(&head.class)?;
--- a/crates/node/src/oversight.rs
+++ b/crates/node/src/oversight.rs
@@ -145,7 +145,7 @@
         let context = &self.context;
         let kind = configuration::DocumentKind::Classes;
         let key = kind.store_key(&context.identity.region);
-        let stored = context.store.get(&key).await.map_err(unavailable)?;
+        let stored = context.store.get(&key).await.map_err(|error| unavailable(&error))?;
         let base = stored.as_ref().map_or(store::StoreRevision(0), |value| value.revision);
         let current =
             match &stored {
@@ -211,7 +211,11 @@
             return Err(operators::RetireError::StillAlive { node: name() });
         }
         let own_leases = next.leases.iter_mut().filter(|lease| lease.holder == member);
-        own_leases.for_each(|lease| lease.retired = true);
+        let leases = own_leases.map(|lease| {
+            lease.retired = true;
+            ident::LeaseId { incarnation, generation: lease.generation }
+        });
+        let leases = leases.collect();
         next.epoch.0 += 1;
         next.change_id = context.draw();
         let bytes = Bytes::from(document::encode_assignment(&next).unwrap_or_default());
@@ -220,7 +224,7 @@
         match self.write(&key, base, next.change_id, bytes.clone(), read_change_id).await {
             write::WriteResult::TookEffect(_) => {
                 configuration::take(context, kind, bytes, acceptance::DocumentSource::Store);
-                Ok(report::RetireReport { node: name(), incarnation, epoch: next.epoch })
+                Ok(report::RetireReport { node: name(), leases, epoch: next.epoch })
             }
             write::WriteResult::LostTo(_) => Box::pin(self.put_retired(node, confirmed)).await,
             write::WriteResult::Uncertain(_) | write::WriteResult::GaveUp => {
@@ -231,7 +235,7 @@
     }
 }
 
-fn unavailable(error: store::StoreError) -> operators::ChangeError {
+fn unavailable(error: &store::StoreError) -> operators::ChangeError {
     operators::ChangeError::StoreUnavailable { reason: error.to_string() }
 }
 
--- a/crates/node/src/planning.rs
+++ b/crates/node/src/planning.rs
@@ -25,6 +25,8 @@
 const ROUND: time::Duration = time::Duration::from_millis(250);
 /// Rounds between two renewals of the planner's lease.
 const LEASE_ROUNDS: u64 = 12;
+/// Rounds between two bids for the planner's lease by a node that doesn't hold it.
+const BID_ROUNDS: u64 = 4;
 /// Time for which the planner's lease is taken.
 const LEASE_TTL: std::time::Duration = std::time::Duration::from_secs(10);
 /// Rounds between two collections of reports.
@@ -37,19 +39,19 @@
 /// What a node writes about itself under `nodes/REGION/NAME`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct NodeRegistration {
+pub(crate) struct NodeRegistration {
     /// The run of the process.
-    pub incarnation: ident::IncarnationId,
+    pub(crate) incarnation: ident::IncarnationId,
     /// Address for QUIC between nodes.
-    pub address: std::net::SocketAddr,
+    pub(crate) address: std::net::SocketAddr,
     /// Availability zone.
-    pub zone: Arc<str>,
+    pub(crate) zone: Arc<str>,
     /// Class of the upstream; empty without one.
-    pub class: Arc<str>,
+    pub(crate) class: Arc<str>,
     /// Whether the upstream checks fence tokens.
-    pub checks_fences: bool,
+    pub(crate) checks_fences: bool,
     /// Whether the node is leaving or has left.
-    pub leaving: bool,
+    pub(crate) leaving: bool,
 }
 
 /// Asks for the registration to be written again.
@@ -192,7 +194,9 @@
         context: &Arc<context::NodeContext>,
         round: u64,
     ) -> Result<(), store::StoreError> {
-        if round.is_multiple_of(LEASE_ROUNDS) || self.held_until.is_none() && round % 4 == 0 {
+        if round.is_multiple_of(LEASE_ROUNDS)
+            || self.held_until.is_none() && round.is_multiple_of(BID_ROUNDS)
+        {
             self.renew(context).await?;
         }
         if self.held_until.is_none_or(|until| context.clock.now() >= until) {
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -93,6 +93,9 @@
             fence.position
         );
     }
+    if fence.position > 0 {
+        announce_expiries(context, class, start);
+    }
     let Some((range, _, is_first_chain)) = range_at(context, class, start) else { return };
     let classes = context.classes();
     let Some(config) = classes.class(class).filter(|config| !config.idempotent) else { return };
@@ -118,6 +121,30 @@
     }
 }
 
+/// Tells all members that earlier members of a chain expired, so that requests find the successor
+/// without asking the lost node first.
+fn announce_expiries(context: &Arc<context::NodeContext>, class: &str, start: key::KeyHash) {
+    let document = context.assignment();
+    let Some((_, slice, _)) = range_at(context, class, start) else { return };
+    let own = context.identity.incarnation;
+    for lease in slice.chain {
+        let id = document.lease_id(lease);
+        if id.incarnation == own {
+            return;
+        }
+        if !context.note_announced_expiry(id) {
+            continue;
+        }
+        let evidence = context.ownership().evidence(id);
+        for member in document.members.iter().filter(|member| member.incarnation != own) {
+            for message in &evidence {
+                let body = peers::from_ownership(context, message.clone());
+                peers::send(context, member.incarnation, body);
+            }
+        }
+    }
+}
+
 /// Fetches the records of slices in whose chain this node stands without having them.
 pub(crate) fn sync_records(context: &Arc<context::NodeContext>) {
     let document = context.assignment();
--- a/crates/node/src/tenure.rs
+++ b/crates/node/src/tenure.rs
@@ -81,7 +81,10 @@
         let now = context.clock.now();
         let decision = context.ownership().begin_key(now, &head.class, hash);
         match decision {
-            Ok(ticket) => return Ok(TenureTicket::new(context, ticket)),
+            Ok(ticket) => {
+                context.loads.count(&context.assignment(), &head.class, hash);
+                return Ok(TenureTicket::new(context, ticket));
+            }
             Err(ownership::GrantDecision::Wait) if now < give_up => {
                 context.sleep(GRANT_PAUSE).await;
             }
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -219,7 +219,11 @@
 
 impl UpstreamChecker {
     /// Sends one check; any HTTP response counts.
-    pub(crate) async fn check(&mut self, address: net::SocketAddr, executor: &NodeExecutor) -> bool {
+    pub(crate) async fn check(
+        &mut self,
+        address: net::SocketAddr,
+        executor: &NodeExecutor,
+    ) -> bool {
         let attempt = async { self.check_once(address, executor).await };
         let limit = async {
             smol::Timer::after(CHECK_TIMEOUT.to_std()).await;
--- a/crates/ownership/src/machine.rs
+++ b/crates/ownership/src/machine.rs
@@ -229,6 +229,20 @@
         actions
     }
 
+    /// The messages that prove the expiry of a lease to a peer; empty if it isn't known to have
+    /// expired by vouches or by release.
+    pub fn evidence(&self, lease: ident::LeaseId) -> Vec<message::OwnershipMessage> {
+        let ledger = self.slices.ledger();
+        if ledger.is_released(lease) {
+            return vec![message::OwnershipMessage::Released { lease }];
+        }
+        let guards = ledger.vouchers(lease).to_vec();
+        if guards.is_empty() || !ledger.is_expired(lease) {
+            return Vec::new();
+        }
+        vec![message::OwnershipMessage::Vouch { lease, guards }]
+    }
+
     /// The highest epoch that this process has confirmed.
     pub fn confirmed_epoch(&self) -> ident::EpochNumber {
         self.confirmed
