Add the stand-in upstream, the load caller and the deployments

The node process needs upstreams that announce themselves and fail on demand: frozen, crashed, shedding load, misreporting load, cutting answers, leaving. Each execution is recorded for assertions on owners and on at-most-once. The caller checks that each answer is whole and has the content of its own request, in closed and open loops; in an open loop latency counts from when a request was due. Bogotá and Nairobi are described as data with a class document each.

--- /dev/null
+++ b/crates/standin/src/caller.rs
@@ -0,0 +1,417 @@
+//! HTTP/1.1 load with checks of each answer.
+
+use std::collections::BTreeMap;
+use std::net;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time;
+
+use bytes::Bytes;
+use futures_lite::future;
+use hdrhistogram::Histogram;
+use http::header;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use smol::channel;
+use smol_hyper::rt::FuturesIo;
+use tokio_util::sync::CancellationToken;
+
+use crate::host::StandinHost;
+use crate::payload;
+
+/// Longest latency that is told apart, in microseconds.
+const MAX_LATENCY_US: u64 = 600_000_000;
+/// Pause of a connection after it couldn't be made.
+const RECONNECT_PAUSE: time::Duration = time::Duration::from_millis(10);
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// When requests are sent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ArrivalMode {
+    /// Each connection sends the next request when the one before has been answered.
+    Closed,
+    /// Requests fall due at this rate a second; latency counts from when they are due.
+    Open(f64),
+}
+
+/// What load is sent.
+#[derive(Clone, Debug)]
+pub struct LoadSettings {
+    /// Addresses that take requests; connections are spread over them.
+    pub targets: Vec<net::SocketAddr>,
+    /// Class of the requests.
+    pub class: Arc<str>,
+    /// When requests are sent.
+    pub arrival: ArrivalMode,
+    /// Number of connections; one request at a time on each.
+    pub connections: u32,
+    /// Number of requests.
+    pub total: u64,
+    /// Time after which no more requests are sent.
+    pub duration: time::Duration,
+    /// Time for one request.
+    pub timeout: time::Duration,
+    /// Number of different keys; 0 sends none.
+    pub keys: u64,
+    /// Share of the requests that go to key 0, from 0 to 1.
+    pub hot_share: f64,
+    /// Whether each request has an idempotency key of its own.
+    pub idempotency_keys: bool,
+    /// Bytes to ask for in each answer.
+    pub answer_bytes: u64,
+    /// Bytes of body in each request; 0 sends a `GET`.
+    pub request_bytes: usize,
+    /// Further headers of each request.
+    pub headers: Vec<(&'static str, String)>,
+    /// First request identifier; runs at the same time need ranges that don't overlap.
+    pub first_id: u64,
+    /// Seed of the choice of keys.
+    pub seed: u64,
+}
+
+impl LoadSettings {
+    /// A closed loop of 1,000 small requests over four connections.
+    pub fn new(targets: Vec<net::SocketAddr>, class: &str) -> LoadSettings {
+        LoadSettings {
+            targets,
+            class: Arc::from(class),
+            arrival: ArrivalMode::Closed,
+            connections: 4,
+            total: 1_000,
+            duration: time::Duration::from_secs(60),
+            timeout: time::Duration::from_secs(10),
+            keys: 1_000,
+            hot_share: 0.0,
+            idempotency_keys: false,
+            answer_bytes: 300,
+            request_bytes: 0,
+            headers: Vec::new(),
+            first_id: 1,
+            seed: 1,
+        }
+    }
+}
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum CallOutcome {
+    /// Answered with success, whole and with the content of this request.
+    Whole,
+    /// Answered with an error that says it was not run.
+    NotRun,
+    /// Answered with an error that says it was run.
+    Run,
+    /// Answered with an error that doesn't know.
+    Unknown,
+    /// Answered with an error that states no outcome.
+    Unstated,
+    /// The answer ended early, with a visible error.
+    Cut,
+    /// The answer ended cleanly, but isn't the one to this request or not all of it.
+    Wrong,
+    /// The connection couldn't be made or was lost before an answer.
+    NoAnswer,
+    /// No whole answer came in time.
+    TimedOut,
+}
+
+/// What a run of load measured.
+#[derive(Clone, Debug)]
+pub struct LoadReport {
+    /// Latency of whole answers, in microseconds.
+    pub latency: Histogram<u64>,
+    /// Number of requests by outcome.
+    pub outcomes: BTreeMap<CallOutcome, u64>,
+    /// Number of answers by HTTP status.
+    pub statuses: BTreeMap<u16, u64>,
+    /// Body bytes of whole answers.
+    pub bytes: u64,
+    /// Duration of the run.
+    pub elapsed: time::Duration,
+    /// Identifiers of requests that ended with another outcome than `Whole`, up to 10,000.
+    pub failed: Vec<(u64, CallOutcome)>,
+}
+
+/// Most identifiers of failed requests in a report.
+const MAX_FAILED: usize = 10_000;
+
+impl LoadReport {
+    fn new() -> Option<LoadReport> {
+        Some(LoadReport {
+            latency: Histogram::new_with_max(MAX_LATENCY_US, 3).ok()?,
+            outcomes: BTreeMap::new(),
+            statuses: BTreeMap::new(),
+            bytes: 0,
+            elapsed: time::Duration::ZERO,
+            failed: Vec::new(),
+        })
+    }
+
+    /// Number of requests with this outcome.
+    pub fn count(&self, outcome: CallOutcome) -> u64 {
+        self.outcomes.get(&outcome).copied().unwrap_or(0)
+    }
+
+    /// Number of requests.
+    pub fn total(&self) -> u64 {
+        self.outcomes.values().sum()
+    }
+
+    /// Latency at a percentile, for example 99.0.
+    pub fn percentile(&self, percentile: f64) -> time::Duration {
+        time::Duration::from_micros(self.latency.value_at_percentile(percentile))
+    }
+
+    fn record(&mut self, id: u64, call: &CallResult, latency: time::Duration) {
+        *self.outcomes.entry(call.outcome).or_default() += 1;
+        if let Some(status) = call.status {
+            *self.statuses.entry(status).or_default() += 1;
+        }
+        if call.outcome == CallOutcome::Whole {
+            self.bytes += call.bytes;
+            self.latency.saturating_record(latency.as_micros() as u64);
+        } else if self.failed.len() < MAX_FAILED {
+            self.failed.push((id, call.outcome));
+        }
+    }
+}
+
+struct CallResult {
+    outcome: CallOutcome,
+    status: Option<u16>,
+    bytes: u64,
+}
+
+impl CallResult {
+    fn without_answer(outcome: CallOutcome) -> CallResult {
+        CallResult { outcome, status: None, bytes: 0 }
+    }
+}
+
+/// A request that is due.
+struct DueCall {
+    id: u64,
+    due: time::Instant,
+}
+
+struct LoadRun {
+    host: StandinHost,
+    settings: LoadSettings,
+    report: Mutex<LoadReport>,
+    next: AtomicU64,
+    started: time::Instant,
+    due: channel::Receiver<DueCall>,
+}
+
+/// Sends load and reports what came back. Stops early if `cancel` is cancelled.
+///
+/// Returns `None` if there is no target.
+pub async fn run(
+    host: &StandinHost,
+    settings: LoadSettings,
+    cancel: &CancellationToken,
+) -> Option<LoadReport> {
+    if settings.targets.is_empty() {
+        return None;
+    }
+    let (due, receiver) = channel::unbounded();
+    let run = Arc::new(LoadRun {
+        report: Mutex::new(LoadReport::new()?),
+        next: AtomicU64::new(0),
+        started: time::Instant::now(),
+        due: receiver,
+        host: host.for_task(),
+        settings,
+    });
+    // Each worker holds a sender; the channel closes when all of them have ended.
+    let (working, worked) = channel::bounded::<()>(1);
+    for worker in 0..run.settings.connections {
+        let (run, working) = (Arc::clone(&run), working.clone());
+        host.spawn(cancel, async move {
+            run.work(worker).await;
+            drop(working);
+        });
+    }
+    if let ArrivalMode::Open(rate) = run.settings.arrival {
+        let (run, cancelled) = (Arc::clone(&run), cancel.clone());
+        host.spawn(&cancelled, async move { run.pace(rate, due).await });
+    }
+    drop(working);
+    let _ = worked.recv().await;
+    let mut report = lock(&run.report).clone();
+    report.elapsed = run.started.elapsed();
+    Some(report)
+}
+
+impl LoadRun {
+    /// Makes requests due at the given rate.
+    async fn pace(&self, rate: f64, due: channel::Sender<DueCall>) {
+        let settings = &self.settings;
+        for number in 0..settings.total {
+            let offset = time::Duration::from_secs_f64(number as f64 / rate.max(0.001));
+            if offset > settings.duration {
+                return;
+            }
+            let at = self.started + offset;
+            if at > time::Instant::now() {
+                smol::Timer::at(at).await;
+            }
+            let call = DueCall { id: settings.first_id + number, due: at };
+            if due.send(call).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// The next request for a worker.
+    async fn next_call(&self) -> Option<DueCall> {
+        if let ArrivalMode::Open(_) = self.settings.arrival {
+            return self.due.recv().await.ok();
+        }
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let is_over = self.started.elapsed() > self.settings.duration;
+        if number >= self.settings.total || is_over {
+            return None;
+        }
+        Some(DueCall { id: self.settings.first_id + number, due: time::Instant::now() })
+    }
+
+    async fn work(&self, worker: u32) {
+        let target = self.settings.targets[worker as usize % self.settings.targets.len()];
+        let seed = self.settings.seed.wrapping_add(u64::from(worker) << 32);
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut connection = None;
+        while let Some(call) = self.next_call().await {
+            let timeout = async {
+                smol::Timer::after(self.settings.timeout).await;
+                None
+            };
+            let exchange = self.exchange(target, connection.take(), &call, &mut random);
+            let (result, kept) = match future::or(exchange, timeout).await {
+                Some(done) => done,
+                None => (CallResult::without_answer(CallOutcome::TimedOut), None),
+            };
+            connection = kept;
+            lock(&self.report).record(call.id, &result, call.due.elapsed());
+            if result.outcome == CallOutcome::NoAnswer {
+                smol::Timer::after(RECONNECT_PAUSE).await;
+            }
+        }
+    }
+
+    /// Sends one request and checks the answer; gives the connection back if it can be used again.
+    async fn exchange(
+        &self,
+        target: net::SocketAddr,
+        connection: Option<Connection>,
+        call: &DueCall,
+        random: &mut fastrand::Rng,
+    ) -> Option<(CallResult, Option<Connection>)> {
+        let no_answer = || Some((CallResult::without_answer(CallOutcome::NoAnswer), None));
+        let kept = connection.filter(|connection| !connection.sender.is_closed());
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => match Connection::open(&self.host, target).await {
+                Some(connection) => connection,
+                None => return no_answer(),
+            },
+        };
+        let request = self.request(target, call, random)?;
+        if connection.sender.ready().await.is_err() {
+            return no_answer();
+        }
+        let Ok(response) = connection.sender.send_request(request).await else {
+            return no_answer();
+        };
+        let result = self.check(call.id, response).await;
+        let is_reusable = !matches!(result.outcome, CallOutcome::Cut);
+        Some((result, is_reusable.then_some(connection)))
+    }
+
+    fn request(
+        &self,
+        target: net::SocketAddr,
+        call: &DueCall,
+        random: &mut fastrand::Rng,
+    ) -> Option<http::Request<Full<Bytes>>> {
+        let settings = &self.settings;
+        let body = payload::content(call.id, 0, settings.request_bytes);
+        let method = if body.is_empty() { http::Method::GET } else { http::Method::POST };
+        let mut builder = http::Request::builder()
+            .method(method)
+            .uri(format!("/{}/item", settings.class))
+            .header(header::HOST, target.to_string())
+            .header(payload::ECHO_HEADER, call.id)
+            .header(payload::LENGTH_HEADER, settings.answer_bytes);
+        if settings.keys > 0 {
+            let is_hot = random.f64() < settings.hot_share;
+            let key = if is_hot { 0 } else { random.u64(0..settings.keys) };
+            builder = builder.header("cornelridge-key", format!("key-{key}"));
+        }
+        if settings.idempotency_keys {
+            builder = builder.header("idempotency-key", format!("call-{}", call.id));
+        }
+        for (name, value) in &settings.headers {
+            builder = builder.header(*name, value);
+        }
+        builder.body(Full::new(body)).ok()
+    }
+
+    async fn check(&self, id: u64, response: http::Response<hyper::body::Incoming>) -> CallResult {
+        let status = Some(response.status().as_u16());
+        let is_success = response.status().is_success();
+        let stated = stated_outcome(response.headers());
+        let echo = response.headers().get(payload::ECHO_HEADER);
+        let is_echo = echo.and_then(|value| value.to_str().ok()) == Some(&id.to_string());
+        let mut body = response.into_body();
+        let (mut bytes, mut is_content) = (0, true);
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                return CallResult { outcome: CallOutcome::Cut, status, bytes };
+            };
+            if let Some(data) = frame.data_ref() {
+                is_content = is_content && payload::is_content(id, bytes, data);
+                bytes += data.len() as u64;
+            }
+        }
+        let is_whole = is_echo && is_content && bytes == self.settings.answer_bytes;
+        let outcome = match (is_success, is_whole) {
+            (true, true) => CallOutcome::Whole,
+            (true, false) => CallOutcome::Wrong,
+            (false, _) => stated,
+        };
+        CallResult { outcome, status, bytes }
+    }
+}
+
+fn stated_outcome(headers: &http::HeaderMap) -> CallOutcome {
+    match headers.get("cornelridge-outcome").map(|value| value.as_bytes()) {
+        Some(b"not-run") => CallOutcome::NotRun,
+        Some(b"run") => CallOutcome::Run,
+        Some(b"unknown") => CallOutcome::Unknown,
+        _ => CallOutcome::Unstated,
+    }
+}
+
+/// A connection whose task ends with it.
+struct Connection {
+    sender: Sender,
+    _driver: smol::Task<()>,
+}
+
+impl Connection {
+    async fn open(host: &StandinHost, target: net::SocketAddr) -> Option<Connection> {
+        let stream = smol::net::TcpStream::connect(target).await.ok()?;
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) = http1::handshake(FuturesIo::new(stream)).await.ok()?;
+        let _driver = host.task(async move {
+            let _ = connection.await;
+        });
+        Some(Connection { sender, _driver })
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/standin/src/deployment.rs
@@ -0,0 +1,179 @@
+//! The Bogotá and Nairobi deployments as data.
+
+use std::sync::Arc;
+use std::time;
+
+use cornelridge_model::{class, ident};
+
+/// Slots of each worker.
+pub const WORKER_SLOTS: u32 = 12;
+/// Connections of each worker.
+pub const WORKER_CONNECTIONS: u32 = 110;
+/// Time that a new connection to a worker takes.
+pub const CONNECT_TIME: time::Duration = time::Duration::from_millis(1);
+
+/// A site with its zones, classes and workers.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Name of the region.
+    pub region: &'static str,
+    /// Names of the availability zones.
+    pub zones: [&'static str; 3],
+    /// Time between two zones, one way.
+    pub zone_delay: time::Duration,
+    /// Time between callers and the site, one way.
+    pub caller_delay: time::Duration,
+    /// Classes with their workers, sorted by name.
+    pub classes: Vec<ClassDeployment>,
+}
+
+/// A class and the workers that serve it.
+#[derive(Clone, Debug)]
+pub struct ClassDeployment {
+    /// What operators state for the class.
+    pub config: class::ClassConfig,
+    /// Number of workers.
+    pub workers: u32,
+    /// Time that a typical request takes.
+    pub service_time: time::Duration,
+    /// Additional time of the first request for a key.
+    pub cold_start: time::Duration,
+    /// Whether the workers check fences.
+    pub checks_fences: bool,
+    /// Bytes in a typical answer.
+    pub answer_bytes: u64,
+}
+
+/// One host with a node and a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerPlan {
+    /// Name of the host.
+    pub name: Arc<str>,
+    /// Class that the worker serves.
+    pub class: Arc<str>,
+    /// Availability zone.
+    pub zone: &'static str,
+    /// Whether the worker checks fences.
+    pub checks_fences: bool,
+}
+
+impl Deployment {
+    /// Quotes, payouts and downloads of lots. Each move of a hot key costs a cold start while a
+    /// seller waits.
+    pub fn bogota() -> Deployment {
+        let prefer = class::BalancePreference::FewestMoves;
+        Deployment {
+            region: "bogota",
+            zones: ["bog-norte", "bog-centro", "bog-sur"],
+            zone_delay: time::Duration::from_micros(500),
+            caller_delay: time::Duration::from_millis(8),
+            classes: vec![bulk("lot-vault", prefer), once("payout-hub", prefer), {
+                let mut quotes = keyed("quote-desk", prefer);
+                quotes.cold_start = time::Duration::from_millis(200);
+                quotes
+            }],
+        }
+    }
+
+    /// Prices, orders and drawings. Unavailable time costs most.
+    pub fn nairobi() -> Deployment {
+        let prefer = class::BalancePreference::LeastDowntime;
+        Deployment {
+            region: "nairobi",
+            zones: ["ruaraka", "kasarani", "thika-road"],
+            zone_delay: time::Duration::from_micros(500),
+            caller_delay: time::Duration::from_millis(3),
+            classes: vec![
+                bulk("catalogue", prefer),
+                once("orderdesk", prefer),
+                keyed("pricebook", prefer),
+            ],
+        }
+    }
+
+    /// The configuration that operators would accept for this site.
+    pub fn class_document(&self) -> class::ClassDocument {
+        class::ClassDocument {
+            revision: ident::RevisionNumber(1),
+            change_id: 1,
+            classes: self.classes.iter().map(|entry| entry.config.clone()).collect(),
+        }
+    }
+
+    /// The hosts of the site. The workers of each class are spread over the zones in turn.
+    pub fn workers(&self) -> Vec<WorkerPlan> {
+        let plan = |(at, entry): (usize, &ClassDeployment)| {
+            let plan = |number: u32| WorkerPlan {
+                name: Arc::from(format!("{}-{}", entry.config.name, number + 1)),
+                class: Arc::clone(&entry.config.name),
+                zone: self.zones[(at + number as usize) % self.zones.len()],
+                checks_fences: entry.checks_fences,
+            };
+            (0..entry.workers).map(plan).collect::<Vec<_>>()
+        };
+        self.classes.iter().enumerate().flat_map(plan).collect()
+    }
+}
+
+/// A class whose keys have one owner each.
+fn keyed(name: &str, prefer: class::BalancePreference) -> ClassDeployment {
+    ClassDeployment {
+        config: class::ClassConfig { division: class::KeyDivision::ByKey, ..config(name, prefer) },
+        workers: 4,
+        service_time: time::Duration::from_millis(2),
+        cold_start: time::Duration::from_millis(50),
+        checks_fences: true,
+        answer_bytes: 300,
+    }
+}
+
+/// A class whose requests must not be repeated.
+fn once(name: &str, prefer: class::BalancePreference) -> ClassDeployment {
+    ClassDeployment {
+        config: class::ClassConfig {
+            idempotent: false,
+            target_ms: 100,
+            deadline_ms: 5_000,
+            yield_rank: 0,
+            ..config(name, prefer)
+        },
+        workers: 3,
+        service_time: time::Duration::from_millis(5),
+        cold_start: time::Duration::ZERO,
+        checks_fences: true,
+        answer_bytes: 300,
+    }
+}
+
+/// A class of large downloads.
+fn bulk(name: &str, prefer: class::BalancePreference) -> ClassDeployment {
+    ClassDeployment {
+        config: class::ClassConfig {
+            target_ms: 1_000,
+            deadline_ms: 60_000,
+            yield_rank: 2,
+            bulk: true,
+            ..config(name, prefer)
+        },
+        workers: 3,
+        service_time: time::Duration::from_millis(10),
+        cold_start: time::Duration::ZERO,
+        checks_fences: false,
+        answer_bytes: 4 * 1024 * 1024,
+    }
+}
+
+fn config(name: &str, prefer: class::BalancePreference) -> class::ClassConfig {
+    class::ClassConfig {
+        name: Arc::from(name),
+        division: class::KeyDivision::AnyWorker,
+        idempotent: true,
+        target_ms: 40,
+        target_percentile: 99.0,
+        deadline_ms: 2_000,
+        yield_rank: 1,
+        bulk: false,
+        record_window_s: 600,
+        prefer,
+    }
+}
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service;
+use smol::lock::Semaphore;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use tokio_util::sync::CancellationToken;
 
@@ -63,6 +64,16 @@
         let cancelled = cancel.clone().cancelled_owned();
         self.executor.spawn(future::or(cancelled, task)).detach();
     }
+
+    /// The same executor for a task, which must not keep the thread alive on which it runs.
+    pub(crate) fn for_task(&self) -> StandinHost {
+        StandinHost { executor: Arc::clone(&self.executor), _thread: None }
+    }
+
+    /// Runs a task that ends when the returned handle is dropped.
+    pub(crate) fn task(&self, task: impl Future<Output = ()> + Send + 'static) -> smol::Task<()> {
+        self.executor.spawn(task)
+    }
 }
 
 #[derive(Debug)]
@@ -89,24 +100,27 @@
     smol::net::TcpListener::try_from(listener)
 }
 
-/// Serves HTTP/1.1 until `cancel` is cancelled, which also closes the connections.
+/// Serves HTTP/1.1 until `cancel` is cancelled, which also closes the connections. Closes new
+/// connections while `limit` are open.
 pub(crate) fn serve<S, F>(
     host: &StandinHost,
     cancel: &CancellationToken,
     listener: smol::net::TcpListener,
+    limit: u32,
     service: S,
 ) where
     S: Fn(http::Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Result<http::Response<AnswerBody>, CutAnswer>> + Send + 'static,
 {
-    let (connection_host, connections) = (host.clone(), cancel.clone());
-    // The task must not keep the thread alive on which it runs.
-    let connection_host = StandinHost { _thread: None, ..connection_host };
+    let (connection_host, connections) = (host.for_task(), cancel.clone());
+    let places = Arc::new(Semaphore::new(limit as usize));
     host.spawn(cancel, async move {
         while let Ok((stream, _)) = listener.accept().await {
+            let Some(place) = places.try_acquire_arc() else { continue };
             let _ = stream.set_nodelay(true);
             let service = service::service_fn(service.clone());
             connection_host.spawn(&connections, async move {
+                let _place = place;
                 let _ = http1::Builder::new()
                     .timer(SmolTimer::new())
                     .serve_connection(FuturesIo::new(stream), service)
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,5 +10,9 @@
 //! # Ok::<(), std::io::Error>(())
 //! ```
 
+pub mod caller;
+pub mod deployment;
 pub mod host;
+pub mod payload;
 pub mod store;
+pub mod upstream;
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -18,6 +18,9 @@
 
 use crate::host::{self, AnswerBody, CutAnswer, StandinHost};
 
+/// Connections that the store accepts; far more than a deployment needs.
+const MAX_CONNECTIONS: u32 = 10_000;
+
 type Answer = Result<http::Response<AnswerBody>, CutAnswer>;
 
 /// What the store does instead of serving.
@@ -196,7 +199,7 @@
     fn serve(&self, listener: smol::net::TcpListener) {
         let state = Arc::clone(&self.state);
         let serving = lock(&self.serving).clone();
-        host::serve(&self.host, &serving, listener, move |request| {
+        host::serve(&self.host, &serving, listener, MAX_CONNECTIONS, move |request| {
             answer(Arc::clone(&state), request)
         });
     }
--- /dev/null
+++ b/crates/standin/src/upstream.rs
@@ -0,0 +1,283 @@
+//! Stand-in upstream: an HTTP/1.1 server beside a node, with faults on demand.
+
+mod announce;
+mod execute;
+
+use std::io;
+use std::net;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time;
+
+use cornelridge_model::ident;
+use smol::channel;
+use tokio_util::sync::CancellationToken;
+
+use crate::host::{self, StandinHost};
+
+/// Executions that are recorded; later ones are counted only.
+const MAX_EXECUTIONS: usize = 1_000_000;
+
+/// What an upstream is and offers.
+#[derive(Clone, Debug)]
+pub struct UpstreamSettings {
+    /// Name in answers.
+    pub name: Arc<str>,
+    /// Class that it serves.
+    pub class: Arc<str>,
+    /// Address on which the node beside it takes announcements.
+    pub announce_to: net::SocketAddr,
+    /// Requests that it runs at the same time; more wait inside it.
+    pub slots: u32,
+    /// Connections that it accepts.
+    pub connections: u32,
+    /// Time that a request takes.
+    pub service_time: time::Duration,
+    /// Additional time for the first request of each key after a start.
+    pub cold_start: time::Duration,
+    /// Whether it refuses requests with an older fence than it has seen for the key.
+    pub checks_fences: bool,
+}
+
+impl UpstreamSettings {
+    /// An upstream with 12 slots, 110 connections and a service time of 2 ms.
+    pub fn new(name: &str, class: &str, announce_to: net::SocketAddr) -> UpstreamSettings {
+        UpstreamSettings {
+            name: Arc::from(name),
+            class: Arc::from(class),
+            announce_to,
+            slots: 12,
+            connections: 110,
+            service_time: time::Duration::from_millis(2),
+            cold_start: time::Duration::ZERO,
+            checks_fences: true,
+        }
+    }
+}
+
+/// How an execution ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExecutionEnd {
+    /// It is running.
+    Running,
+    /// It was completed; the answer may still have been cut or lost.
+    Finished,
+    /// The connection was closed before, or the upstream crashed.
+    Abandoned,
+}
+
+/// One request that the upstream began to run.
+#[derive(Clone, Debug)]
+pub struct Execution {
+    /// From `cornelridge-request-id`.
+    pub request_id: Option<Arc<str>>,
+    /// From `idempotency-key`.
+    pub idempotency_key: Option<Arc<str>>,
+    /// From `cornelridge-key`.
+    pub key: Option<Arc<str>>,
+    /// From `cornelridge-fence`.
+    pub fence: Option<ident::FenceToken>,
+    /// Identifier that the caller gave to the request.
+    pub echo: Option<u64>,
+    /// When it began to run.
+    pub started: time::Instant,
+    /// When it ended.
+    pub ended: Option<time::Instant>,
+    /// How it ended.
+    pub end: ExecutionEnd,
+}
+
+/// Number of requests by what became of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UpstreamCounts {
+    /// Began to run.
+    pub executed: u64,
+    /// Refused because of an older fence.
+    pub refused_fence: u64,
+    /// Refused because of load.
+    pub refused_load: u64,
+    /// Announcements that a node answered with success.
+    pub announced: u64,
+    /// Starts of the server, the first included.
+    pub starts: u64,
+}
+
+#[derive(Debug, Default)]
+struct UpstreamFaults {
+    /// While set, nothing proceeds; dropping the sender wakes what waits.
+    frozen: Option<(channel::Sender<()>, channel::Receiver<()>)>,
+    sheds_load: bool,
+    reported_load: Option<u32>,
+    cuts_after: Option<u64>,
+    leaving: bool,
+}
+
+#[derive(Debug)]
+struct UpstreamState {
+    settings: UpstreamSettings,
+    address: net::SocketAddr,
+    faults: Mutex<UpstreamFaults>,
+    counts: Mutex<UpstreamCounts>,
+    executions: Mutex<Vec<Execution>>,
+    /// Cancelled by a crash.
+    run: Mutex<CancellationToken>,
+    /// Asks for an announcement before its time.
+    announce_now: channel::Sender<()>,
+}
+
+/// A running stand-in upstream; stops when dropped.
+#[derive(Debug)]
+pub struct UpstreamServer {
+    host: StandinHost,
+    state: Arc<UpstreamState>,
+    announce_requests: channel::Receiver<()>,
+    cancel: CancellationToken,
+}
+
+impl Drop for UpstreamServer {
+    fn drop(&mut self) {
+        self.cancel.cancel();
+    }
+}
+
+impl UpstreamServer {
+    /// Starts an upstream on a free loopback port and announces it.
+    pub fn start(host: &StandinHost, settings: UpstreamSettings) -> io::Result<UpstreamServer> {
+        UpstreamServer::start_with(host, settings, CancellationToken::new())
+    }
+
+    /// Starts an upstream that also stops when `cancel` is cancelled.
+    pub fn start_with(
+        host: &StandinHost,
+        settings: UpstreamSettings,
+        cancel: CancellationToken,
+    ) -> io::Result<UpstreamServer> {
+        let listener = host::listen(([127, 0, 0, 1], 0).into())?;
+        let (announce_now, announce_requests) = channel::bounded(1);
+        let state = Arc::new(UpstreamState {
+            settings,
+            address: listener.local_addr()?,
+            faults: Mutex::default(),
+            counts: Mutex::default(),
+            executions: Mutex::default(),
+            run: Mutex::new(cancel.child_token()),
+            announce_now,
+        });
+        let server = UpstreamServer { host: host.clone(), state, announce_requests, cancel };
+        server.run(listener);
+        Ok(server)
+    }
+
+    /// Address for requests.
+    pub fn address(&self) -> net::SocketAddr {
+        self.state.address
+    }
+
+    /// What the upstream was started with.
+    pub fn settings(&self) -> &UpstreamSettings {
+        &self.state.settings
+    }
+
+    /// Counts so far.
+    pub fn counts(&self) -> UpstreamCounts {
+        *lock(&self.state.counts)
+    }
+
+    /// Executions so far, in the order in which they began.
+    pub fn executions(&self) -> Vec<Execution> {
+        lock(&self.state.executions).clone()
+    }
+
+    /// Stops all progress: requests, answers and announcements. Connections stay open.
+    pub fn freeze(&self) {
+        lock(&self.state.faults).frozen.get_or_insert_with(|| channel::bounded(1));
+    }
+
+    /// Lets everything proceed that was frozen.
+    pub fn thaw(&self) {
+        lock(&self.state.faults).frozen = None;
+    }
+
+    /// Closes the port and all connections, and loses all state except the records for tests.
+    pub fn crash(&self) {
+        self.state.crash();
+    }
+
+    /// Whether the port is open.
+    pub fn is_running(&self) -> bool {
+        !lock(&self.state.run).is_cancelled()
+    }
+
+    /// Starts again after a crash, on the same address and without any state.
+    pub fn restart(&self) -> io::Result<()> {
+        if self.is_running() {
+            return Ok(());
+        }
+        let listener = host::listen(self.state.address)?;
+        *lock(&self.state.run) = self.cancel.child_token();
+        lock(&self.state.faults).frozen = None;
+        self.run(listener);
+        Ok(())
+    }
+
+    /// Refuses every request because of load, or stops doing so.
+    pub fn set_sheds_load(&self, sheds: bool) {
+        lock(&self.state.faults).sheds_load = sheds;
+    }
+
+    /// Reports this load instead of the true one.
+    pub fn set_reported_load(&self, load: Option<u32>) {
+        lock(&self.state.faults).reported_load = load;
+    }
+
+    /// Cuts each answer after this many bytes of its body.
+    pub fn set_cuts_after(&self, bytes: Option<u64>) {
+        lock(&self.state.faults).cuts_after = bytes;
+    }
+
+    /// Announces that the upstream is leaving, at once and from now on.
+    pub fn leave(&self) {
+        self.set_leaving(true);
+    }
+
+    /// Announces that the upstream stays after all.
+    pub fn stay(&self) {
+        self.set_leaving(false);
+    }
+
+    fn set_leaving(&self, leaving: bool) {
+        lock(&self.state.faults).leaving = leaving;
+        let _ = self.state.announce_now.try_send(());
+    }
+
+    fn run(&self, listener: smol::net::TcpListener) {
+        lock(&self.state.counts).starts += 1;
+        let run = lock(&self.state.run).clone();
+        let requests = self.announce_requests.clone();
+        self.host.spawn(&run, announce::announce(Arc::clone(&self.state), requests));
+        let memory = Arc::new(execute::RunMemory::new(&self.state.settings));
+        let state = Arc::clone(&self.state);
+        let connections = self.state.settings.connections;
+        host::serve(&self.host, &run, listener, connections, move |request| {
+            execute::answer(Arc::clone(&state), Arc::clone(&memory), request)
+        });
+    }
+}
+
+impl UpstreamState {
+    fn crash(&self) {
+        lock(&self.run).cancel();
+    }
+
+    /// Waits while the upstream is frozen.
+    async fn thawed(&self) {
+        loop {
+            let frozen = lock(&self.faults).frozen.as_ref().map(|(_, sign)| sign.clone());
+            let Some(sign) = frozen else { return };
+            let _ = sign.recv().await;
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
