Test the transport against hostile peers, lost links and slow readers

The test of shuffled answers found that a reader reported a reset once and a clean end from then on, because QUIC does. A reader that has failed now stays failed.

The 1 GB download is scaled down to 64 MB.

--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -137,12 +137,14 @@
     guard: Option<connection::StreamGuard>,
     peer: net::SocketAddr,
     decoder: codec::FrameDecoder,
+    failed: bool,
 }
 
 impl FrameReader {
     pub(crate) fn new(stream: quinn::RecvStream, guard: connection::StreamGuard) -> FrameReader {
         let peer = guard.peer();
-        FrameReader { stream, guard: Some(guard), peer, decoder: codec::FrameDecoder::default() }
+        let decoder = codec::FrameDecoder::default();
+        FrameReader { stream, guard: Some(guard), peer, decoder, failed: false }
     }
 
     /// Address of the peer.
@@ -175,6 +177,10 @@
     where
         M: prost::Message + Default,
     {
+        if self.failed {
+            // QUIC reports a reset once and a clean end from then on.
+            return Err(TransportError::StreamEnded { sent: true });
+        }
         let frame = match self.next_frame(limit).await {
             Ok(Some(frame)) => frame,
             Ok(None) => {
@@ -205,6 +211,7 @@
             self.stop_with(CODE_INVALID);
         }
         self.guard = None;
+        self.failed = true;
         error
     }
 
--- /dev/null
+++ b/crates/wire/tests/failures.rs
@@ -0,0 +1,316 @@
+//! Lost peers, restarts, replaced certificates and slow readers.
+
+#![allow(clippy::unwrap_used, clippy::panic)]
+
+mod support;
+
+use std::net;
+
+use cornelridge_wire::transport::TransportError;
+use cornelridge_wire::{codec, generated, identity, transport};
+use futures_lite::future;
+
+use support::{
+    CutLink, bind, chunk, head, next_datagram, next_stream, pair, probe, request_id, run,
+};
+
+/// A request that never left must say so, or the caller would be told `unknown` for nothing.
+#[test]
+fn an_unreachable_peer_got_nothing() {
+    run(async {
+        let (a, _b) = pair();
+        let silent = net::UdpSocket::bind("127.0.0.1:0").unwrap();
+        let to = silent.local_addr().unwrap();
+        let error = a.open_stream(to, &head(1)).await.unwrap_err();
+        assert!(matches!(error, TransportError::Unreachable { .. }), "{error}");
+        assert!(!error.may_have_reached_peer());
+        a.send_datagram(to, &probe(1));
+        let again = a.open_stream(to, &head(1)).await.unwrap_err();
+        assert!(!again.may_have_reached_peer());
+    });
+}
+
+/// A request on a link that breaks must end with an error that says it may have been run.
+#[test]
+fn a_dead_link_fails_waiting_requests() {
+    run(async {
+        let (a, b) = pair();
+        let link = CutLink::before(b.local_address()).await;
+        let (mut writer, mut reader) = a.open_stream(link.address, &head(1)).await.unwrap();
+        let (_, _answer, mut body) = next_stream(&b).await;
+        link.cut();
+        let error = reader.receive::<generated::BodyChunk>().await.unwrap_err();
+        assert!(matches!(error, TransportError::ConnectionLost { .. }), "{error}");
+        assert!(error.may_have_reached_peer());
+        let error = writer.send(&chunk(vec![1], true)).await.unwrap_err();
+        assert!(error.may_have_reached_peer());
+        // The other side notices by itself.
+        assert!(body.receive::<generated::BodyChunk>().await.is_err());
+        let error = a.open_stream(link.address, &head(2)).await.unwrap_err();
+        assert!(!error.may_have_reached_peer());
+        link.mend();
+        loop {
+            // Attempts are paused after failures, so the first ones may be refused.
+            if a.open_stream(link.address, &head(3)).await.is_ok() {
+                break;
+            }
+            future::yield_now().await;
+        }
+    });
+}
+
+/// A slow answer on a live connection must not be taken for a dead peer.
+#[test]
+fn a_long_wait_on_a_live_peer_goes_on() {
+    run(async {
+        let (a, b) = pair();
+        let (_writer, mut reader) = a.open_stream(b.local_address(), &head(1)).await.unwrap();
+        let (_, mut answer, _body) = next_stream(&b).await;
+        // Three times the span after which a silent peer counts as dead.
+        smol::Timer::after(std::time::Duration::from_millis(2_700)).await;
+        answer.send(&chunk(vec![1], true)).await.unwrap();
+        assert!(reader.receive::<generated::BodyChunk>().await.unwrap().is_some());
+    });
+}
+
+/// A peer that restarted on its address must be reached again without being forgotten first.
+#[test]
+fn a_restarted_peer_is_reached() {
+    run(async {
+        let authority = identity::TrialAuthority::new().unwrap();
+        let a = bind(authority.issue("a").unwrap());
+        let b = bind(authority.issue("b").unwrap());
+        let address = b.local_address();
+        let (_writer, mut reader) = a.open_stream(address, &head(1)).await.unwrap();
+        next_stream(&b).await;
+        b.close();
+        b.wait_closed().await;
+        assert!(reader.receive::<generated::BodyChunk>().await.is_err());
+        drop(b);
+        let b = loop {
+            // The socket closes when the last task of the old endpoint has ended.
+            let identity = authority.issue("b").unwrap();
+            let settings = transport::EndpointSettings { listen: address, identity };
+            match transport::NodeEndpoint::bind(settings) {
+                Ok(endpoint) => break endpoint,
+                Err(_) => future::yield_now().await,
+            }
+        };
+        let _stream = loop {
+            match a.open_stream(address, &head(2)).await {
+                Ok(stream) => break stream,
+                Err(_) => future::yield_now().await,
+            }
+        };
+        assert_eq!(request_id(&next_stream(&b).await.0), 2);
+        // The restarted peer speaks first: its connection is used from then on.
+        b.send_datagram(a.local_address(), &probe(3));
+        assert_eq!(next_datagram(&a).await.1, probe(3));
+    });
+}
+
+/// Answers that come late and in any order must reach the request they belong to.
+#[test]
+fn answers_out_of_order_are_not_mixed() {
+    run(async {
+        let (a, b) = pair();
+        let mut random = fastrand::Rng::with_seed(42);
+        let mut readers = Vec::new();
+        let mut answers = Vec::new();
+        for id in 0..200 {
+            readers.push((id, a.open_stream(b.local_address(), &head(id)).await.unwrap()));
+        }
+        for _ in 0..200 {
+            let (head, writer, _body) = next_stream(&b).await;
+            answers.push((request_id(&head), writer));
+        }
+        random.shuffle(&mut answers);
+        for (id, writer) in &mut answers {
+            // Some answers are cut: nothing of them may appear elsewhere.
+            writer.send(&chunk(id.to_le_bytes().to_vec(), true)).await.unwrap();
+            if *id % 7 == 0 {
+                writer.reset();
+            } else {
+                writer.finish().await.unwrap();
+            }
+        }
+        random.shuffle(&mut readers);
+        for (id, (_writer, mut reader)) in readers {
+            match reader.receive::<generated::BodyChunk>().await {
+                Ok(answer) => assert_eq!(answer.unwrap().data, id.to_le_bytes()),
+                Err(error) => assert_eq!(id % 7, 0, "{error}"),
+            }
+            let end = reader.receive::<generated::BodyChunk>().await;
+            assert_eq!(matches!(end, Ok(None)), id % 7 != 0, "{id}");
+        }
+        assert_eq!((a.connections(), b.connections()), (1, 1));
+    });
+}
+
+/// Requests that start at the same time must share one connection.
+#[test]
+fn concurrent_first_requests_share_a_connection() {
+    run(async {
+        let (a, b) = pair();
+        let opens: Vec<_> = (0..32)
+            .map(|id| {
+                let (a, to) = (a.clone(), b.local_address());
+                smol::spawn(async move { a.open_stream(to, &head(id)).await.unwrap() })
+            })
+            .collect();
+        let mut streams = Vec::new();
+        for open in opens {
+            streams.push(open.await);
+        }
+        for _ in 0..32 {
+            next_stream(&b).await;
+        }
+        assert_eq!((a.connections(), b.connections()), (1, 1));
+    });
+}
+
+/// Data for a reader that doesn't read must stay with the sender, beyond one window.
+#[test]
+fn a_slow_reader_holds_the_writer() {
+    run(async {
+        let (a, b) = pair();
+        let to = b.local_address();
+        let (_writer, mut reader) = a.open_stream(to, &head(1)).await.unwrap();
+        let (_, mut answer, _body) = next_stream(&b).await;
+        let piece = chunk(vec![7; codec::MAX_CHUNK_BYTES], false);
+        let mut accepted = 0;
+        // The writer is polled until it waits; each further frame would need more window.
+        while future::poll_once(answer.send(&piece)).await.is_some() {
+            accepted += 1;
+            assert!(accepted < 100, "the writer is never held");
+        }
+        assert!(accepted * codec::MAX_CHUNK_BYTES <= 256 * 1024);
+        // Another stream of the connection isn't held.
+        let (_writer, mut quick) = a.open_stream(to, &head(2)).await.unwrap();
+        let (_, mut second, _body) = next_stream(&b).await;
+        second.send(&chunk(vec![1], true)).await.unwrap();
+        assert!(quick.receive::<generated::BodyChunk>().await.unwrap().is_some());
+        // The frame whose sending was given up above was taken over and comes exactly once.
+        let rest = async {
+            answer.flush().await.unwrap();
+            answer.finish().await.unwrap();
+        };
+        let read = async {
+            let mut frames = 0;
+            while let Some(frame) = reader.receive::<generated::BodyChunk>().await.unwrap() {
+                assert_eq!(frame, piece);
+                frames += 1;
+            }
+            frames
+        };
+        assert_eq!(future::zip(rest, read).await.1, accepted + 1);
+    });
+}
+
+/// A download far larger than all windows must come whole. Scaled down from 1 GB to 64 MB.
+#[test]
+fn a_large_answer_comes_whole() {
+    run(async {
+        let (a, b) = pair();
+        let (_writer, mut reader) = a.open_stream(b.local_address(), &head(1)).await.unwrap();
+        let (_, mut answer, _body) = next_stream(&b).await;
+        let pieces: u64 = 64_000_000 / codec::MAX_CHUNK_BYTES as u64;
+        let sent = async {
+            for number in 0..pieces {
+                let mut piece = chunk(vec![0; codec::MAX_CHUNK_BYTES], number + 1 == pieces);
+                piece.data[..8].copy_from_slice(&number.to_le_bytes());
+                answer.send(&piece).await.unwrap();
+            }
+            answer.finish().await.unwrap();
+        };
+        let received = async {
+            let mut number = 0_u64;
+            while let Some(piece) = reader.receive::<generated::BodyChunk>().await.unwrap() {
+                assert_eq!(piece.data.len(), codec::MAX_CHUNK_BYTES);
+                assert_eq!(piece.data[..8], number.to_le_bytes());
+                number += 1;
+                assert_eq!(piece.last, number == pieces);
+            }
+            number
+        };
+        assert_eq!(future::zip(sent, received).await.1, pieces);
+    });
+}
+
+/// New certificates must be used for new connections without an error on open streams.
+#[test]
+fn certificates_are_replaced_without_losing_requests() {
+    run(async {
+        let old = identity::TrialAuthority::new().unwrap();
+        let new = identity::TrialAuthority::new().unwrap();
+        let (a, b) = (bind(old.issue("a").unwrap()), bind(old.issue("b").unwrap()));
+        let (_writer, mut reader) = a.open_stream(b.local_address(), &head(1)).await.unwrap();
+        let (_, mut answer, _body) = next_stream(&b).await;
+        b.reload(&new.issue("b").unwrap());
+        answer.send(&chunk(vec![1], true)).await.unwrap();
+        answer.finish().await.unwrap();
+        assert!(reader.receive::<generated::BodyChunk>().await.unwrap().is_some());
+        assert!(reader.receive::<generated::BodyChunk>().await.unwrap().is_none());
+        let stranger = bind(old.issue("c").unwrap());
+        assert!(stranger.open_stream(b.local_address(), &head(2)).await.is_err());
+        let node = bind(new.issue("d").unwrap());
+        let _stream = node.open_stream(b.local_address(), &head(3)).await.unwrap();
+        assert_eq!(request_id(&next_stream(&b).await.0), 3);
+        a.reload(&new.issue("a").unwrap());
+        a.forget(b.local_address());
+        let _stream = a.open_stream(b.local_address(), &head(4)).await.unwrap();
+        assert_eq!(request_id(&next_stream(&b).await.0), 4);
+    });
+}
+
+/// A forgotten peer's open stream must still end properly; then the connection closes.
+#[test]
+fn forgetting_a_peer_cuts_no_stream() {
+    run(async {
+        let (a, b) = pair();
+        let (writer, mut reader) = a.open_stream(b.local_address(), &head(1)).await.unwrap();
+        let (_, mut answer, body) = next_stream(&b).await;
+        a.forget(b.local_address());
+        assert_eq!(a.connections(), 0);
+        answer.send(&chunk(vec![1], true)).await.unwrap();
+        answer.finish().await.unwrap();
+        assert!(reader.receive::<generated::BodyChunk>().await.unwrap().is_some());
+        assert!(reader.receive::<generated::BodyChunk>().await.unwrap().is_none());
+        drop((writer, reader, answer, body));
+        while b.connections() > 0 {
+            future::yield_now().await;
+        }
+    });
+}
+
+/// Datagrams must never hold up their sender, even when nobody takes them.
+#[test]
+fn datagrams_are_dropped_rather_than_kept() {
+    run(async {
+        let (a, b) = pair();
+        let (_writer, mut reader) = a.open_stream(b.local_address(), &head(1)).await.unwrap();
+        let (_, mut answer, _body) = next_stream(&b).await;
+        for nonce in 0..100_000 {
+            a.send_datagram(b.local_address(), &probe(nonce));
+        }
+        answer.send(&chunk(vec![1], true)).await.unwrap();
+        assert!(reader.receive::<generated::BodyChunk>().await.unwrap().is_some());
+        assert!(b.events().len() <= 1_024);
+    });
+}
+
+/// An endpoint that is closed must end the streams of both sides with an error.
+#[test]
+fn a_closed_endpoint_cuts_visibly() {
+    run(async {
+        let (a, b) = pair();
+        let (_writer, mut reader) = a.open_stream(b.local_address(), &head(1)).await.unwrap();
+        let (_, mut answer, mut body) = next_stream(&b).await;
+        answer.send(&chunk(vec![1], false)).await.unwrap();
+        assert!(reader.receive::<generated::BodyChunk>().await.unwrap().is_some());
+        b.close();
+        assert!(reader.receive::<generated::BodyChunk>().await.is_err());
+        assert!(body.receive::<generated::BodyChunk>().await.is_err());
+        assert!(b.events().recv().await.is_err());
+    });
+}
--- /dev/null
+++ b/crates/wire/tests/support/mod.rs
@@ -0,0 +1,128 @@
+//! Endpoints and messages for tests.
+
+#![allow(clippy::unwrap_used, clippy::panic, dead_code)]
+
+use std::net;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time;
+
+use cornelridge_wire::transport::{FrameReader, FrameWriter, NodeEndpoint, PeerEvent};
+use cornelridge_wire::{generated, identity, transport};
+use futures_lite::future;
+use generated::control_message::Body;
+use generated::stream_head::Kind;
+
+/// Far above any expected wait; a test that reaches it has hung.
+pub(crate) const LIMIT: time::Duration = time::Duration::from_secs(60);
+
+pub(crate) fn run<T>(test: impl Future<Output = T>) -> T {
+    let limit = async {
+        smol::Timer::after(LIMIT).await;
+        panic!("the test waited {LIMIT:?} for an event");
+    };
+    smol::block_on(future::or(test, limit))
+}
+
+pub(crate) fn bind_at(listen: net::SocketAddr, identity: identity::TlsIdentity) -> NodeEndpoint {
+    NodeEndpoint::bind(transport::EndpointSettings { listen, identity }).unwrap()
+}
+
+pub(crate) fn bind(identity: identity::TlsIdentity) -> NodeEndpoint {
+    bind_at(([127, 0, 0, 1], 0).into(), identity)
+}
+
+pub(crate) fn pair() -> (NodeEndpoint, NodeEndpoint) {
+    let authority = identity::TrialAuthority::new().unwrap();
+    (bind(authority.issue("a").unwrap()), bind(authority.issue("b").unwrap()))
+}
+
+pub(crate) fn head(id: u64) -> generated::StreamHead {
+    let request = generated::RequestHead { request_id: id, ..Default::default() };
+    generated::StreamHead { kind: Some(Kind::Request(request)) }
+}
+
+pub(crate) fn request_id(head: &generated::StreamHead) -> u64 {
+    match &head.kind {
+        Some(Kind::Request(request)) => request.request_id,
+        other => panic!("not a request: {other:?}"),
+    }
+}
+
+pub(crate) fn probe(nonce: u64) -> generated::ControlMessage {
+    let probe = generated::Probe { nonce, versions: None };
+    generated::ControlMessage { sender: 1, body: Some(Body::Probe(probe)) }
+}
+
+pub(crate) fn chunk(data: Vec<u8>, last: bool) -> generated::BodyChunk {
+    generated::BodyChunk { data, last }
+}
+
+pub(crate) async fn next_stream(
+    endpoint: &NodeEndpoint,
+) -> (generated::StreamHead, FrameWriter, FrameReader) {
+    let events = endpoint.events();
+    loop {
+        if let PeerEvent::Stream { head, writer, reader, .. } = events.recv().await.unwrap() {
+            return (head, writer, reader);
+        }
+    }
+}
+
+pub(crate) async fn next_datagram(
+    endpoint: &NodeEndpoint,
+) -> (net::SocketAddr, generated::ControlMessage) {
+    let events = endpoint.events();
+    loop {
+        if let PeerEvent::Datagram { from, message } = events.recv().await.unwrap() {
+            return (from, message);
+        }
+    }
+}
+
+/// A UDP relay in front of an endpoint that can drop everything, like a cut link.
+pub(crate) struct CutLink {
+    pub(crate) address: net::SocketAddr,
+    is_cut: Arc<AtomicBool>,
+    _tasks: Vec<smol::Task<()>>,
+}
+
+impl CutLink {
+    pub(crate) async fn before(target: net::SocketAddr) -> CutLink {
+        let inner = smol::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let outer = smol::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let address = outer.local_addr().unwrap();
+        let is_cut = Arc::new(AtomicBool::new(false));
+        let caller = Arc::new(Mutex::new(None));
+        let (near, far) = (outer.clone(), inner.clone());
+        let (cut, noted) = (Arc::clone(&is_cut), Arc::clone(&caller));
+        let forward = smol::spawn(async move {
+            let mut packet = vec![0; 65_536];
+            while let Ok((length, from)) = near.recv_from(&mut packet).await {
+                *noted.lock().unwrap() = Some(from);
+                if !cut.load(Ordering::SeqCst) {
+                    let _ = far.send_to(&packet[..length], target).await;
+                }
+            }
+        });
+        let cut = Arc::clone(&is_cut);
+        let backward = smol::spawn(async move {
+            let mut packet = vec![0; 65_536];
+            while let Ok((length, _)) = inner.recv_from(&mut packet).await {
+                let to = *caller.lock().unwrap();
+                if let (Some(to), false) = (to, cut.load(Ordering::SeqCst)) {
+                    let _ = outer.send_to(&packet[..length], to).await;
+                }
+            }
+        });
+        CutLink { address, is_cut, _tasks: vec![forward, backward] }
+    }
+
+    pub(crate) fn cut(&self) {
+        self.is_cut.store(true, Ordering::SeqCst);
+    }
+
+    pub(crate) fn mend(&self) {
+        self.is_cut.store(false, Ordering::SeqCst);
+    }
+}
