--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -170,6 +170,16 @@
         &self.context.identity.name
     }
 
+    /// Availability zone of the node.
+    pub fn zone(&self) -> &Arc<str> {
+        &self.context.identity.zone
+    }
+
+    /// Workers that this node knows, by class.
+    pub fn workers(&self) -> Vec<(Arc<str>, usize)> {
+        self.context.workers.counts()
+    }
+
     /// This run of the node.
     pub fn incarnation(&self) -> ident::IncarnationId {
         self.context.identity.incarnation
--- a/crates/node/src/workers.rs
+++ b/crates/node/src/workers.rs
@@ -97,6 +97,12 @@
         Some(choice.worker)
     }
 
+    /// Workers by class.
+    pub(crate) fn counts(&self) -> Vec<(Arc<str>, usize)> {
+        let classes = lock(&self.classes);
+        classes.iter().map(|(name, workers)| (Arc::clone(name), workers.members.len())).collect()
+    }
+
     /// Ejected workers by class, for the state dump.
     pub(crate) fn ejected(&self) -> Vec<(Arc<str>, usize)> {
         let classes = lock(&self.classes);
--- /dev/null
+++ b/crates/standin/examples/demo.rs
@@ -0,0 +1,126 @@
+//! Starts the Bogotá deployment in one process, sends requests, loses a host and reports.
+//!
+//! With `--serve` the deployment is left running until Ctrl-C.
+
+use std::env;
+use std::process;
+use std::time;
+
+use cornelridge_standin::caller;
+use cornelridge_standin::deployment;
+use cornelridge_standin::mesh;
+use tokio_util::sync::CancellationToken;
+
+/// Time within which the deployment must be ready.
+const READY_LIMIT: time::Duration = time::Duration::from_secs(20);
+/// Requests of each class in each phase.
+const REQUESTS: u64 = 600;
+
+fn main() -> process::ExitCode {
+    let result = match env::args().nth(1).as_deref() {
+        None => smol::block_on(run()),
+        Some("--serve") => smol::block_on(serve()),
+        Some(other) => Err(format!("unknown argument {other:?}; use --serve or none")),
+    };
+    match result {
+        Ok(()) => {
+            println!("demo: ok");
+            process::ExitCode::SUCCESS
+        }
+        Err(promise) => {
+            println!("demo: failed: {promise}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+async fn start() -> Result<mesh::Mesh, String> {
+    let bogota = deployment::Deployment::bogota();
+    let mesh = mesh::Mesh::start(bogota, |_| {}).await.map_err(|error| error.to_string())?;
+    mesh.ready(READY_LIMIT).await.map_err(|error| error.to_string())?;
+    Ok(mesh)
+}
+
+async fn serve() -> Result<(), String> {
+    let mesh = start().await?;
+    for line in mesh.describe() {
+        println!("{line}");
+    }
+    println!("store {}", mesh.store.address());
+    let mut signals = async_signal::Signals::new([async_signal::Signal::Int])
+        .map_err(|error| error.to_string())?;
+    futures_lite::StreamExt::next(&mut signals).await;
+    Ok(())
+}
+
+async fn run() -> Result<(), String> {
+    let started = time::Instant::now();
+    let mut mesh = start().await?;
+    println!("{} nodes ready after {:.1} s", mesh.hosts.len(), started.elapsed().as_secs_f64());
+    for line in mesh.describe() {
+        println!("{line}");
+    }
+    phase(&mesh, "all hosts up", 0).await?;
+    let lost = mesh.hosts_of("quote-desk")[0];
+    println!("losing host {}", mesh.hosts[lost].plan.name);
+    let lost_at = time::Instant::now();
+    mesh.lose_host(lost);
+    unserved(&mesh, lost_at).await?;
+    phase(&mesh, "one host lost", 1_000_000).await?;
+    check_executions(&mesh)
+}
+
+/// Sends requests of every class and checks that each one is answered whole.
+async fn phase(mesh: &mesh::Mesh, name: &str, first_id: u64) -> Result<(), String> {
+    for (index, class) in mesh.deployment.classes.iter().enumerate() {
+        let config = &class.config;
+        let settings = caller::LoadSettings {
+            total: REQUESTS,
+            connections: 8,
+            idempotency_keys: !config.idempotent,
+            answer_bytes: class.answer_bytes,
+            first_id: first_id + index as u64 * REQUESTS + 1,
+            ..caller::LoadSettings::new(mesh.caller_addresses(), &config.name)
+        };
+        let cancel = CancellationToken::new();
+        let report = caller::run(&mesh.standins, settings, &cancel).await;
+        let report = report.ok_or("no caller could be started")?;
+        println!(
+            "{name}: {} {} of {} answered whole, p50 {:.2} ms, p99 {:.2} ms (target {} ms)",
+            config.name,
+            report.count(caller::CallOutcome::Whole),
+            report.total(),
+            report.percentile(50.0).as_secs_f64() * 1e3,
+            report.percentile(99.0).as_secs_f64() * 1e3,
+            config.target_ms,
+        );
+        if report.count(caller::CallOutcome::Wrong) > 0 {
+            return Err(format!("class {}: a caller received a wrong answer", config.name));
+        }
+        if report.count(caller::CallOutcome::Whole) < REQUESTS {
+            return Err(format!("class {}: outcomes {:?}", config.name, report.outcomes));
+        }
+    }
+    Ok(())
+}
+
+/// Waits until every sampled key has an owner again.
+async fn unserved(mesh: &mesh::Mesh, lost_at: time::Instant) -> Result<(), String> {
+    mesh.served(READY_LIMIT).await.map_err(|error| error.to_string())?;
+    println!("every key is served again after {:.3} s", lost_at.elapsed().as_secs_f64());
+    Ok(())
+}
+
+/// No idempotency key may have been executed twice.
+fn check_executions(mesh: &mesh::Mesh) -> Result<(), String> {
+    let mut keys = std::collections::HashSet::new();
+    for execution in mesh.hosts.iter().flat_map(|host| host.upstream.executions()) {
+        if let Some(key) = execution.idempotency_key
+            && !keys.insert(std::sync::Arc::clone(&key))
+        {
+            return Err(format!("idempotency key {key} was executed twice"));
+        }
+    }
+    println!("{} idempotency keys, none executed twice", keys.len());
+    Ok(())
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,11 @@
 //! # Ok::<(), std::io::Error>(())
 //! ```
 
+pub mod caller;
+pub mod deployment;
 pub mod host;
+pub mod mesh;
+pub mod payload;
 pub mod soak;
 pub mod store;
+pub mod upstream;
--- /dev/null
+++ b/crates/standin/src/mesh.rs
@@ -0,0 +1,211 @@
+//! One deployment in one process: stand-in store and upstreams, and a node beside each upstream.
+
+use std::io;
+use std::net;
+use std::sync::Arc;
+use std::time;
+
+use bytes::Bytes;
+use cornelridge::node;
+use cornelridge::settings;
+use cornelridge_wire::identity;
+use thiserror::Error;
+
+use crate::deployment;
+use crate::host;
+use crate::store;
+use crate::upstream;
+
+/// Token of the operators in trials and tests.
+pub const OPERATOR_TOKEN: &str = "trial-operator-token";
+/// Interval between two looks at whether the mesh is ready.
+const POLL: time::Duration = time::Duration::from_millis(10);
+/// Interval between two looks at whether every key is served.
+const SERVED_POLL: time::Duration = time::Duration::from_millis(2);
+/// Keys that are looked at to tell whether a class is served.
+const SAMPLE_KEYS: u32 = 64;
+
+/// A mesh that couldn't start.
+#[derive(Debug, Error)]
+pub enum MeshError {
+    /// A stand-in couldn't start.
+    #[error("stand-in not started: {0}")]
+    Standin(#[from] io::Error),
+    /// A node couldn't start.
+    #[error("node not started: {0}")]
+    Node(#[from] node::StartError),
+    /// Certificates couldn't be made.
+    #[error("no certificates: {0}")]
+    Identity(#[from] identity::IdentityError),
+    /// The token isn't valid.
+    #[error("operator token: {0}")]
+    Token(#[from] settings::TokenError),
+    /// The nodes didn't agree on the first documents in time.
+    #[error("the mesh was not ready within {0:?}")]
+    NotReady(time::Duration),
+}
+
+/// One host of the mesh; either part may be lost.
+pub struct MeshHost {
+    /// Name, zone and class.
+    pub plan: deployment::WorkerPlan,
+    /// The node, unless it was stopped.
+    pub node: Option<node::NodeHandle>,
+    /// The upstream beside it.
+    pub upstream: upstream::UpstreamServer,
+}
+
+/// A running deployment.
+pub struct Mesh {
+    /// What runs.
+    pub deployment: deployment::Deployment,
+    /// Where the stand-ins run.
+    pub standins: host::StandinHost,
+    /// The store.
+    pub store: store::StoreServer,
+    /// The hosts.
+    pub hosts: Vec<MeshHost>,
+    authority: identity::TrialAuthority,
+}
+
+/// Changes the settings of an upstream before it starts.
+pub type UpstreamTuning = fn(&mut upstream::UpstreamSettings);
+
+impl Mesh {
+    /// Starts everything; the classes are in the store before the first node.
+    pub async fn start(
+        deployment: deployment::Deployment,
+        tune: UpstreamTuning,
+    ) -> Result<Mesh, MeshError> {
+        let standins = host::StandinHost::thread()?;
+        let store = store::StoreServer::start(&standins)?;
+        let classes = serde_json::to_vec(&deployment.class_document()).unwrap_or_default();
+        store.overwrite("classes", Bytes::from(classes));
+        let authority = identity::TrialAuthority::new()?;
+        let plans = deployment.workers();
+        let mut mesh = Mesh { deployment, standins, store, hosts: Vec::new(), authority };
+        for plan in plans {
+            let host = mesh.start_host(plan, tune).await?;
+            mesh.hosts.push(host);
+        }
+        Ok(mesh)
+    }
+
+    async fn start_host(
+        &self,
+        plan: deployment::WorkerPlan,
+        tune: UpstreamTuning,
+    ) -> Result<MeshHost, MeshError> {
+        let node = self.start_node(&plan).await?;
+        let announce_to = node.announce_address;
+        let mut settings = upstream::UpstreamSettings::new(&plan.name, &plan.class, announce_to);
+        settings.checks_fences = plan.checks_fences;
+        let class = self.deployment.classes.iter().find(|entry| entry.config.name == plan.class);
+        if let Some(class) = class {
+            settings.service_time = class.service_time;
+            settings.cold_start = class.cold_start;
+        }
+        tune(&mut settings);
+        let upstream = upstream::UpstreamServer::start(&self.standins, settings)?;
+        Ok(MeshHost { plan, node: Some(node), upstream })
+    }
+
+    /// Starts a node for a host, on new ports.
+    pub async fn start_node(
+        &self,
+        plan: &deployment::WorkerPlan,
+    ) -> Result<node::NodeHandle, MeshError> {
+        let token = settings::OperatorToken::new(OPERATOR_TOKEN)?;
+        let region = self.deployment.region;
+        let address = self.store.address();
+        let node =
+            settings::NodeSettings::local_trial(&plan.name, region, plan.zone, address, token);
+        let identity = self.authority.issue(&plan.name)?;
+        Ok(node::NodeHandle::start(&node, identity).await?)
+    }
+
+    /// The running nodes.
+    pub fn nodes(&self) -> impl Iterator<Item = &node::NodeHandle> {
+        self.hosts.iter().filter_map(|host| host.node.as_ref())
+    }
+
+    /// Where callers are served.
+    pub fn caller_addresses(&self) -> Vec<net::SocketAddr> {
+        self.nodes().map(|node| node.caller_address).collect()
+    }
+
+    /// Hosts of a class.
+    pub fn hosts_of(&self, class: &str) -> Vec<usize> {
+        let is_of = |host: &&MeshHost| &*host.plan.class == class;
+        let named = self.hosts.iter().enumerate();
+        named.filter(|(_, host)| is_of(host)).map(|(index, _)| index).collect()
+    }
+
+    /// The node that may serve a key at this moment.
+    pub fn owner(&self, class: &str, key: &[u8]) -> Option<usize> {
+        let serves =
+            |host: &MeshHost| host.node.as_ref().is_some_and(|node| node.serves(class, key));
+        self.hosts.iter().position(serves)
+    }
+
+    /// Stops a node at once, as if the process had been lost.
+    pub fn lose_node(&mut self, host: usize) {
+        if let Some(node) = self.hosts[host].node.take() {
+            node.stop();
+        }
+    }
+
+    /// Stops a node and its upstream at once.
+    pub fn lose_host(&mut self, host: usize) {
+        self.hosts[host].upstream.crash();
+        self.lose_node(host);
+    }
+
+    /// Waits until every sliced class is served for a sample of keys and every worker is known.
+    pub async fn ready(&self, limit: time::Duration) -> Result<(), MeshError> {
+        let deadline = time::Instant::now() + limit;
+        while !self.is_ready() {
+            if time::Instant::now() >= deadline {
+                return Err(MeshError::NotReady(limit));
+            }
+            smol::Timer::after(POLL).await;
+        }
+        Ok(())
+    }
+
+    /// Waits until every sampled key of every sliced class has an owner.
+    pub async fn served(&self, limit: time::Duration) -> Result<(), MeshError> {
+        let deadline = time::Instant::now() + limit;
+        while !self.is_served() {
+            if time::Instant::now() >= deadline {
+                return Err(MeshError::NotReady(limit));
+            }
+            smol::Timer::after(SERVED_POLL).await;
+        }
+        Ok(())
+    }
+
+    fn is_ready(&self) -> bool {
+        let hosts = self.hosts.iter().filter(|host| host.node.is_some()).count();
+        let known = |node: &node::NodeHandle| node.workers().iter().map(|(_, n)| n).sum::<usize>();
+        self.nodes().all(|node| known(node) >= hosts) && self.is_served()
+    }
+
+    fn is_served(&self) -> bool {
+        let mut sliced = self.deployment.classes.iter().filter(|class| class.config.is_sliced());
+        sliced.all(|class| {
+            let mut keys = (0..SAMPLE_KEYS).map(|key| format!("key-{key}"));
+            keys.all(|key| self.owner(&class.config.name, key.as_bytes()).is_some())
+        })
+    }
+
+    /// Names of the nodes with the addresses that operators and callers use.
+    pub fn describe(&self) -> Vec<Arc<str>> {
+        let line = |node: &node::NodeHandle| {
+            let (name, zone) = (node.name(), node.zone());
+            let (callers, operators) = (node.caller_address, node.operator_address);
+            Arc::from(format!("node {name} zone {zone} callers {callers} operators {operators}"))
+        };
+        self.nodes().map(line).collect()
+    }
+}
