Show one remedy for a revision conflict in cornelctl

Cause: in a trial with three node processes, cornelctl printed the remedy of the endpoint, which names an HTTP header, and its own. Change: a conflict shows what changed and the flag with the current revision. Conclusion: the message names only what cornelctl has.

--- a/crates/cli/src/table.rs
+++ b/crates/cli/src/table.rs
@@ -148,21 +148,18 @@
 
 /// An error with its remedy and, for a conflict, what changed.
 pub(crate) fn error(report: &report::ErrorReport) -> String {
-    let mut text =
-        format!("{} ({})\n{}", plain(&report.message), plain(&report.error), plain(&report.remedy));
-    let Some(conflict) = &report.conflict else { return text };
-    text += &format!(
-        "\nrevision {} is expected, {} is current; {}:",
-        conflict.expected, conflict.current, conflict.compared
-    );
+    let mut text = format!("{} ({})\n", plain(&report.message), plain(&report.error));
+    let Some(conflict) = &report.conflict else { return text + &plain(&report.remedy) };
+    text += &format!("Revision {}; {}:\n", conflict.current, conflict.compared);
     for difference in &conflict.differences {
-        text += &format!("\n  {} {}", plain(&difference.class), difference.kind);
+        text += &format!("  {} {}\n", plain(&difference.class), difference.kind);
         for field in &difference.fields {
             let (before, current) = (plain(&field.before), plain(&field.current));
-            text += &format!("\n    {}: {before} -> {current}", plain(&field.field));
+            text += &format!("    {}: {before} -> {current}\n", plain(&field.field));
         }
     }
-    text + "\nTo retry, check the differences and run the command again with the current revision."
+    let current = conflict.current;
+    text + &format!("To retry, check the differences and use --expected-revision {current}.")
 }
 
 fn revisions(status: &report::StatusReport) -> String {
