Read TLS files in the right order and leave when an operator asks

Cause: a trial of three node processes by the product work showed that the certificate file was read as the authority file, and that a drained process did not exit. Change: the arguments are in order; a drain by the operators' endpoint ends the process after its requests; the limit of caller connections comes from the settings. Conclusion: node processes start with certificates from files.

--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -79,6 +79,10 @@
     pub(crate) documents: documents::DocumentCache,
     /// Requests in flight at this node.
     pub(crate) requests: InFlightCounter,
+    /// Cancelled when an operator asks the node to leave.
+    pub(crate) leave_requested: CancellationToken,
+    /// Most connections of callers.
+    pub(crate) max_callers: usize,
     /// Connections of callers.
     pub(crate) caller_connections: InFlightCounter,
     /// Retry budgets, hedging and latency by class.
@@ -122,6 +126,7 @@
     pub(crate) endpoint: transport::NodeEndpoint,
     pub(crate) store: Arc<dyn store::ConfigStore>,
     pub(crate) max_records: usize,
+    pub(crate) max_callers: usize,
     pub(crate) advertised: net::SocketAddr,
     pub(crate) seed: u64,
 }
@@ -134,6 +139,8 @@
         NodeContext {
             clock,
             closing: CancellationToken::new(),
+            leave_requested: CancellationToken::new(),
+            max_callers: parts.max_callers,
             documents: documents::DocumentCache::default(),
             requests: InFlightCounter::default(),
             caller_connections: InFlightCounter::default(),
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -29,8 +29,6 @@
 const HEADER_READ_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 /// Bodies up to this size are read before the request is forwarded, so that it can be repeated.
 const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
-/// Connections of callers at the same time.
-const MAX_CONNECTIONS: usize = 4_096;
 /// Requests at the same time on one HTTP/2 connection.
 const MAX_HTTP2_STREAMS: u32 = 256;
 /// Pause after a failed accept, which is most often a lack of file descriptors.
@@ -53,8 +51,8 @@
                 continue;
             }
         };
-        let Some(permit) = context.caller_connections.try_acquire(MAX_CONNECTIONS) else {
-            log::warn!("caller {peer} refused: {MAX_CONNECTIONS} connections are open");
+        let Some(permit) = context.caller_connections.try_acquire(context.max_callers) else {
+            log::warn!("caller {peer} refused: {} connections are open", context.max_callers);
             continue;
         };
         let task = serve_connection(Arc::clone(&context), stream, peer);
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -7,7 +7,7 @@
 use cornelridge::logs;
 use cornelridge::node;
 use cornelridge::settings;
-use futures_lite::StreamExt;
+use futures_lite::{FutureExt, StreamExt};
 
 fn main() -> process::ExitCode {
     let loaded = settings::NodeSettings::load(env::args_os().skip(1), env::vars_os());
@@ -52,7 +52,12 @@
         node.announce_address,
         node.operator_address,
     );
-    while let Some(signal) = signals.next().await {
+    loop {
+        let requested = async {
+            node.leave_requested().await;
+            None
+        };
+        let Some(signal) = signals.next().or(requested).await else { break };
         if signal? != Signal::Hup {
             break;
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -79,7 +79,7 @@
 ) -> Result<identity::TlsIdentity, StartError> {
     match &settings.trust {
         settings::PeerTrust::TlsFiles { ca, certificate, key } => {
-            Ok(identity::TlsIdentity::from_pem_files(ca, certificate, key)?)
+            Ok(identity::TlsIdentity::from_pem_files(certificate, key, ca)?)
         }
         settings::PeerTrust::InsecureLocalTrial => Err(StartError::NoIdentity),
     }
@@ -125,6 +125,7 @@
             endpoint,
             store: Arc::new(store),
             max_records: settings.limits.records,
+            max_callers: settings.limits.caller_connections,
             advertised: settings.peer_advertised.unwrap_or(peer_address),
             seed: random.u64(..),
         }));
@@ -213,6 +214,11 @@
         self.context.endpoint.reload(identity);
     }
 
+    /// Completes when an operator has asked the node to leave.
+    pub async fn leave_requested(&self) {
+        self.context.leave_requested.cancelled().await;
+    }
+
     /// Leaves: hands slices over, finishes requests in flight, then stops.
     pub async fn leave(&self) {
         drain::leave(&self.context, self.drain_limit).await;
--- a/crates/node/src/oversight.rs
+++ b/crates/node/src/oversight.rs
@@ -313,6 +313,7 @@
     fn drain(&self) -> SourceFuture<'_, report::DrainReport> {
         Box::pin(async {
             drain::start(&self.context);
+            self.context.leave_requested.cancel();
             report::DrainReport {
                 node: Arc::clone(&self.context.identity.name),
                 in_flight: self.context.requests.current() as u32,
