--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -6,9 +6,9 @@
 use bytes::{Bytes, BytesMut};
 use cornelridge_wire::generated;
 use cornelridge_wire::transport;
-use futures_lite::stream;
+use futures_lite::{future, stream};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body;
+use hyper::body::{self, Body};
 use thiserror::Error;
 
 /// Largest chunk sent to another node in one frame, in bytes; a frame holds 64 KiB with its head.
@@ -24,8 +24,10 @@
 
 /// Where the chunks of a body come from.
 pub(crate) enum BodySource {
-    /// No body.
+    /// No body, or its clean end.
     Empty,
+    /// The rest was lost.
+    Cut,
     /// A whole body in memory.
     Whole(Bytes),
     /// An HTTP connection.
@@ -37,28 +39,49 @@
 }
 
 impl BodySource {
-    /// The next chunk; `None` at the clean end only.
+    /// The next chunk; `None` at the clean end only. Dropping the future loses nothing.
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, BodyCutError> {
-        match mem::replace(self, BodySource::Empty) {
+        match self {
             BodySource::Empty => Ok(None),
-            BodySource::Whole(data) => Ok(Some(data).filter(|data| !data.is_empty())),
+            BodySource::Cut => {
+                let detail = "an earlier part was lost".to_owned();
+                Err(BodyCutError { detail })
+            }
+            BodySource::Whole(_) | BodySource::Prefixed(..) => Ok(self.take_ready()),
+            BodySource::Http(incoming) => {
+                let chunk = next_http(incoming).await;
+                let is_over = matches!(chunk, Ok(None)) || incoming.is_end_stream();
+                self.settle(chunk.is_err(), is_over);
+                chunk
+            }
+            BodySource::Frames(reader) => {
+                let chunk = next_frame(reader).await;
+                let is_over = matches!(chunk, Ok((_, true)));
+                self.settle(chunk.is_err(), is_over);
+                let (data, _) = chunk?;
+                Ok(Some(data).filter(|data| !data.is_empty()))
+            }
+        }
+    }
+
+    fn settle(&mut self, is_cut: bool, is_over: bool) {
+        if is_cut {
+            *self = BodySource::Cut;
+        } else if is_over {
+            *self = BodySource::Empty;
+        }
+    }
+
+    fn take_ready(&mut self) -> Option<Bytes> {
+        match mem::replace(self, BodySource::Empty) {
+            BodySource::Whole(data) => Some(data).filter(|data| !data.is_empty()),
             BodySource::Prefixed(data, incoming) => {
                 *self = BodySource::Http(incoming);
-                Ok(Some(data))
+                Some(data)
             }
-            BodySource::Http(mut incoming) => {
-                let chunk = next_http(&mut incoming).await?;
-                if chunk.is_some() {
-                    *self = BodySource::Http(incoming);
-                }
-                Ok(chunk)
-            }
-            BodySource::Frames(mut reader) => {
-                let (chunk, last) = next_frame(&mut reader).await?;
-                if !last {
-                    *self = BodySource::Frames(reader);
-                }
-                Ok(Some(chunk).filter(|chunk| !(last && chunk.is_empty())))
+            other => {
+                *self = other;
+                None
             }
         }
     }
@@ -68,7 +91,10 @@
         match self {
             BodySource::Empty => Some(BodySource::Empty),
             BodySource::Whole(data) => Some(BodySource::Whole(data.clone())),
-            BodySource::Http(_) | BodySource::Prefixed(..) | BodySource::Frames(_) => None,
+            BodySource::Cut
+            | BodySource::Http(_)
+            | BodySource::Prefixed(..)
+            | BodySource::Frames(_) => None,
         }
     }
 }
@@ -117,26 +143,37 @@
     Ok(BodySource::Whole(data.freeze()))
 }
 
-/// Sends a body as frames and ends with a frame marked as the last one.
+/// Sends a body as frames, marks the last one and ends the stream. What is at hand leaves at once
+/// with what was queued before.
 pub(crate) async fn send_frames(
     chunks: &mut (impl BodyChunks + ?Sized),
     writer: &mut transport::FrameWriter,
 ) -> Result<(), BodyCutError> {
-    while let Some(mut data) = chunks.next_chunk().await? {
+    loop {
+        let next = match future::poll_once(chunks.next_chunk()).await {
+            Some(next) => next?,
+            None => {
+                writer.flush().await.map_err(cut)?;
+                chunks.next_chunk().await?
+            }
+        };
+        let Some(mut data) = next else { break };
         while !data.is_empty() {
             let piece = data.split_to(data.len().min(MAX_CHUNK_BYTES));
             let chunk = generated::BodyChunk { data: piece.to_vec(), last: false };
-            send(writer, &chunk).await?;
+            writer.queue(&chunk).map_err(cut)?;
+            if chunk.data.len() == MAX_CHUNK_BYTES {
+                writer.flush().await.map_err(cut)?;
+            }
         }
     }
-    send(writer, &generated::BodyChunk { data: Vec::new(), last: true }).await
+    writer.queue(&generated::BodyChunk { data: Vec::new(), last: true }).map_err(cut)?;
+    writer.finish().await.map_err(cut)
 }
 
-async fn send(
-    writer: &mut transport::FrameWriter,
-    chunk: &generated::BodyChunk,
-) -> Result<(), BodyCutError> {
-    writer.send(chunk).await.map_err(|error| BodyCutError { detail: error.to_string() })
+#[allow(clippy::needless_pass_by_value)]
+pub(crate) fn cut(error: transport::TransportError) -> BodyCutError {
+    BodyCutError { detail: error.to_string() }
 }
 
 /// A body that is pulled chunk by chunk.
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -211,7 +211,8 @@
             let others = document.members.iter().map(|member| member.incarnation);
             let others: Vec<_> = others.filter(|member| *member != own).collect();
             context.liveness().set_peers(&others);
-            context.workers.adopt(now, &context.identity.zone, &document);
+            let classes = context.classes();
+            context.workers.adopt(now, &context.identity.zone, &document, &classes);
             context.documents.put_assignment(document, bytes);
             serving::apply(context, actions);
             serving::watch_predecessors(context);
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -24,6 +24,7 @@
 use crate::admission as gate_admission;
 use crate::clock;
 use crate::configuration;
+use crate::deadline;
 use crate::documents;
 use crate::executor;
 use crate::failure::{FailureKind, RequestFailure};
@@ -77,6 +78,8 @@
     pub(crate) store: Arc<dyn store::ConfigStore>,
     /// Documents in force.
     pub(crate) documents: documents::DocumentCache,
+    /// Deadlines of requests.
+    pub(crate) deadlines: Arc<deadline::DeadlineTable>,
     /// Requests in flight at this node.
     pub(crate) requests: InFlightCounter,
     /// Cancelled when an operator asks the node to leave.
@@ -142,6 +145,7 @@
             leave_requested: CancellationToken::new(),
             max_callers: parts.max_callers,
             documents: documents::DocumentCache::default(),
+            deadlines: Arc::default(),
             requests: InFlightCounter::default(),
             caller_connections: InFlightCounter::default(),
             policies: policies::PolicyTable::default(),
@@ -350,9 +354,9 @@
         smol::Timer::after(span.to_std()).await;
     }
 
-    /// Sleeps until a point in time.
+    /// Sleeps until a point in time, or a few milliseconds longer.
     pub(crate) async fn sleep_until(&self, at: time::Instant) {
-        self.sleep(at.since(self.clock.now())).await;
+        self.deadlines.wait(self.clock, at).await;
     }
 }
 
--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -39,17 +39,16 @@
         Err(failure) => (generated::response_head::Kind::Error(failure.to_wire()), None),
     };
     let response = generated::ResponseHead { kind: Some(kind) };
-    if writer.send(&response).await.is_err() {
+    if let Err(error) = writer.queue(&response) {
+        log::warn!("answer can't be sent: {error}");
         return;
     }
-    if let Some(mut answer_body) = answer_body
-        && let Err(error) = body::send_frames(&mut answer_body, &mut writer).await
-    {
+    let sent = match answer_body {
         // Dropping the writer resets the stream, so the other node sees that the body was cut.
+        Some(mut answer_body) => body::send_frames(&mut answer_body, &mut writer).await,
+        None => writer.finish().await.map_err(body::cut),
+    };
+    if let Err(error) = sent {
         log::debug!("answer cut: {error}");
-        return;
-    }
-    if let Err(error) = writer.finish().await {
-        log::debug!("stream not finished: {error}");
     }
 }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -280,19 +280,17 @@
     let message = head.to_wire(context.clock.now(), epoch, has_body);
     let kind = Some(generated::stream_head::Kind::Request(message));
     let stream_head = generated::StreamHead { kind };
-    let opened = context.endpoint.open_stream(address, &stream_head).await;
-    let (mut writer, mut reader) = opened.map_err(|error| {
-        let result = match error.may_have_reached_peer() {
-            true => outcome::RequestOutcome::Unknown,
-            false => outcome::RequestOutcome::NotRun,
-        };
-        RequestFailure::new(FailureKind::PeerLost, result, error.to_string())
-    })?;
+    let opened = context.endpoint.open_stream_queued(address, &stream_head).await;
+    let (mut writer, mut reader) = opened.map_err(|error| unsent(&error))?;
+    if !has_body {
+        let sent = writer.finish().await;
+        sent.map_err(|error| unsent(&error))?;
+        let response = read_answer(&mut reader).await;
+        return accept_answer(response.map_err(|detail| peer_lost(address, &detail))?, reader);
+    }
     let upload = Box::pin(async move {
-        if has_body && let Err(error) = body::send_frames(&mut source, &mut writer).await {
-            return Err(error.to_string());
-        }
-        writer.finish().await.map_err(|error| error.to_string())
+        let sent = body::send_frames(&mut source, &mut writer).await;
+        sent.map_err(|error| error.to_string())
     });
     let (upload, answer) = race_upload(context, upload, read_answer(&mut reader)).await;
     let response = match (answer, upload) {
@@ -302,6 +300,13 @@
             return Err(peer_lost(address, &format!("{detail}; request body: {cut}")));
         }
     };
+    accept_answer(response, reader)
+}
+
+fn accept_answer(
+    response: generated::response_head::Kind,
+    reader: transport::FrameReader,
+) -> Result<request::RequestAnswer, RequestFailure> {
     match response {
         generated::response_head::Kind::Error(error) => Err(RequestFailure::from_wire(error)),
         generated::response_head::Kind::Start(start) => {
@@ -349,6 +354,14 @@
     }
 }
 
+fn unsent(error: &transport::TransportError) -> RequestFailure {
+    let result = match error.may_have_reached_peer() {
+        true => outcome::RequestOutcome::Unknown,
+        false => outcome::RequestOutcome::NotRun,
+    };
+    RequestFailure::new(FailureKind::PeerLost, result, error.to_string())
+}
+
 fn peer_lost(address: net::SocketAddr, detail: &str) -> RequestFailure {
     let message = format!("node at {address} did not answer: {detail}");
     RequestFailure::unknown(FailureKind::PeerLost, message)
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -231,7 +231,7 @@
     *request.method_mut() = head.method.clone();
     *request.uri_mut() = uri;
     let map = request.headers_mut();
-    *map = headers::from_wire(&headers::to_wire(&head.headers));
+    *map = head.headers.clone();
     headers::set_text(map, header::HOST.as_str(), &address.to_string());
     headers::set_number(map, headers::REQUEST_ID, head.id);
     headers::set_number(map, headers::DEADLINE, head.deadline.since(now).as_millis());
@@ -265,8 +265,9 @@
         let message = format!("the upstream refused the request: {reason:?}");
         return Err(admitted.not_run(FailureKind::UpstreamRefused, message));
     }
-    let (parts, incoming) = response.into_parts();
-    let mut map = headers::from_wire(&headers::to_wire(&parts.headers));
+    let (mut parts, incoming) = response.into_parts();
+    headers::strip(&mut parts.headers);
+    let mut map = parts.headers;
     if let Ok(value) = HeaderValue::from_str(&context.identity.name) {
         map.insert(headers::SERVED_BY, value);
     }
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -48,23 +48,26 @@
         && name.as_str() != "proxy-connection"
 }
 
-/// Names listed in `Connection`, which are hop-by-hop for this message too.
-fn connection_options(headers: &HeaderMap) -> Vec<String> {
-    headers
+/// Removes the headers that belong to one connection, and those that only this system may set.
+pub(crate) fn strip(headers: &mut HeaderMap) {
+    let options: Vec<String> = headers
         .get_all(header::CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
         .map(|option| option.trim().to_ascii_lowercase())
-        .collect()
+        .collect();
+    let named = options.iter().filter_map(|option| HeaderName::from_bytes(option.as_bytes()).ok());
+    named.for_each(|name| drop(headers.remove(name)));
+    HOP_BY_HOP.iter().for_each(|name| drop(headers.remove(name)));
+    RESERVED.iter().for_each(|name| drop(headers.remove(*name)));
+    ["keep-alive", "proxy-connection"].iter().for_each(|name| drop(headers.remove(*name)));
 }
 
-/// The headers of a message that go on to the next hop.
+/// The message form of headers that were stripped.
 pub(crate) fn to_wire(headers: &HeaderMap) -> Vec<generated::Header> {
-    let options = connection_options(headers);
     headers
         .iter()
-        .filter(|(name, _)| is_passed_on(name) && !options.iter().any(|o| o == name.as_str()))
         .map(|(name, value)| generated::Header {
             name: name.as_str().to_owned(),
             value: value.as_bytes().to_vec(),
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -157,7 +157,7 @@
     peer: net::SocketAddr,
     request: Request<body::Incoming>,
 ) -> Result<(request::RequestHead, node_body::BodySource), RequestFailure> {
-    let (parts, incoming) = request.into_parts();
+    let (mut parts, incoming) = request.into_parts();
     let (class_name, path) = split_path(parts.uri.path(), parts.uri.query())?;
     let classes = context.classes();
     let Some(class) = classes.class(class_name) else {
@@ -181,13 +181,16 @@
         name => name.to_owned(),
     };
     let deadline = context.clock.now() + deadline(&parts.headers, class)?;
+    let key = Bytes::copy_from_slice(key.as_bytes());
+    let idempotency_key = Arc::from(idempotency_key);
+    headers::strip(&mut parts.headers);
     let head = request::RequestHead {
         id: context.draw(),
         class: Arc::clone(&class.name),
         method: parts.method,
         path,
-        key: Bytes::copy_from_slice(key.as_bytes()),
-        idempotency_key: idempotency_key.into(),
+        key,
+        idempotency_key,
         caller: caller.into(),
         headers: parts.headers,
         deadline,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod clock;
 mod configuration;
 mod context;
+mod deadline;
 mod documents;
 mod drain;
 mod dump;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -17,6 +17,7 @@
 use crate::announce;
 use crate::configuration;
 use crate::context;
+use crate::deadline;
 use crate::drain;
 use crate::dump;
 use crate::executor;
@@ -95,6 +96,13 @@
     Ok((listener, bound))
 }
 
+async fn deadline_ticks(context: Arc<context::NodeContext>) {
+    loop {
+        context.sleep(deadline::TICK).await;
+        context.deadlines.wake(context.clock.now());
+    }
+}
+
 impl NodeHandle {
     /// Binds all addresses and starts the tasks of the node.
     pub async fn start(
@@ -153,6 +161,7 @@
         let context = &self.context;
         let executor = &context.executor;
         let node = || Arc::clone(context);
+        executor.spawn(deadline_ticks(node()));
         executor.spawn(ingress::serve(node(), callers));
         executor.spawn(announce::serve(node(), announcements));
         executor.spawn(announce::watch(node()));
--- a/crates/node/src/workers.rs
+++ b/crates/node/src/workers.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use cornelridge_model::assignment;
+use cornelridge_model::class;
 use cornelridge_model::ident;
 use cornelridge_model::outcome;
 use cornelridge_model::time;
@@ -15,6 +16,9 @@
 use crate::failure::RequestFailure;
 use crate::request;
 
+/// Latency target of a class that this node has no configuration for yet.
+const DEFAULT_TARGET: time::Duration = time::Duration::from_secs(1);
+
 #[derive(Debug)]
 struct ClassWorkers {
     selector: selection::WorkerSelector,
@@ -34,6 +38,7 @@
         now: time::Instant,
         own_zone: &str,
         document: &assignment::AssignmentDocument,
+        config: &class::ClassDocument,
     ) {
         let mut zones: Vec<&str> = document.members.iter().map(|member| &*member.zone).collect();
         zones.sort_unstable();
@@ -56,7 +61,8 @@
         }
         for member in document.members.iter().filter(|member| is_serving(member)) {
             let workers = classes.entry(Arc::clone(&member.class)).or_insert_with(|| {
-                let selector = selection::WorkerSelector::new(zone_index(own_zone));
+                let target = config.class(&member.class).map_or(DEFAULT_TARGET, |c| c.target());
+                let selector = selection::WorkerSelector::new(zone_index(own_zone), target);
                 ClassWorkers { selector, members: Vec::new() }
             });
             if !workers.members.contains(&member.incarnation) {
--- a/crates/standin/examples/demo.rs
+++ b/crates/standin/examples/demo.rs
@@ -15,6 +15,8 @@
 const READY_LIMIT: time::Duration = time::Duration::from_secs(20);
 /// Requests of each class in each phase.
 const REQUESTS: u64 = 600;
+/// Downloads in each phase; each has 4 MiB.
+const DOWNLOADS: u64 = 60;
 
 fn main() -> process::ExitCode {
     let result = match env::args().nth(1).as_deref() {
@@ -74,8 +76,9 @@
 async fn phase(mesh: &mesh::Mesh, name: &str, first_id: u64) -> Result<(), String> {
     for (index, class) in mesh.deployment.classes.iter().enumerate() {
         let config = &class.config;
+        let total = if config.bulk { DOWNLOADS } else { REQUESTS };
         let settings = caller::LoadSettings {
-            total: REQUESTS,
+            total,
             connections: 8,
             idempotency_keys: !config.idempotent,
             answer_bytes: class.answer_bytes,
@@ -97,7 +100,7 @@
         if report.count(caller::CallOutcome::Wrong) > 0 {
             return Err(format!("class {}: a caller received a wrong answer", config.name));
         }
-        if report.count(caller::CallOutcome::Whole) < REQUESTS {
+        if report.count(caller::CallOutcome::Whole) < total {
             return Err(format!("class {}: outcomes {:?}", config.name, report.outcomes));
         }
     }
