--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -6,6 +6,31 @@
 
 use crate::backlog;
 use crate::limit;
+use crate::service;
+
+/// Most queued requests.
+pub const MAX_QUEUED: usize = 256;
+/// A queue that hasn't been empty for this long is standing: it holds requests only as long as
+/// they can still meet their target, while a shorter burst may use the whole deadline.
+const STANDING: time::Duration = time::Duration::from_millis(100);
+/// A standing queue may always use one part in this many of the target.
+const MIN_WAIT_SHARE: f64 = 4.0;
+/// Share of the mean service time below which the rest of the deadline is hopeless.
+const HOPELESS_SHARE: f64 = 0.5;
+/// One slot in this many is kept free of bulk work.
+const BULK_RESERVE: usize = 4;
+/// How long the other work is held back so that a suspect can run alone.
+const ALONE_DRAIN: time::Duration = time::Duration::from_millis(250);
+/// Pause after a suspect couldn't run alone, so that suspects can't keep the upstream idle.
+const ALONE_PAUSE: time::Duration = time::Duration::from_secs(2);
+/// Without an announcement, dispatch resumes this long after a crash.
+const CRASH_PAUSE: time::Duration = time::Duration::from_secs(1);
+/// An upstream with running requests that ends none for this long counts as stalled.
+const MIN_STALL: time::Duration = time::Duration::from_secs(1);
+/// A stall is also measured in mean service times, for slow classes.
+const STALL_FACTOR: f64 = 8.0;
+/// Requests that a stalled upstream is given at once, to notice when it continues.
+const STALLED_LIMIT: u32 = 2;
 
 /// Number of a request at its node, unique while the request is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -113,29 +138,93 @@
     Refuse(RequestId, AdmissionRefusal),
 }
 
+/// A dispatched request.
+#[derive(Clone, Copy, Debug)]
+struct RunningRequest {
+    request: AdmissionRequest,
+    dispatched: time::Instant,
+}
+
+/// A suspect for which the upstream is being emptied.
+#[derive(Clone, Copy, Debug)]
+struct AloneDrain {
+    request: AdmissionRequest,
+    until: time::Instant,
+}
+
 /// Orders and bounds the work of one upstream.
 #[derive(Debug)]
 pub struct AdmissionQueue {
     limit: limit::ConcurrencyLimit,
-    running: HashMap<RequestId, AdmissionRequest>,
+    running: HashMap<RequestId, RunningRequest>,
+    running_bulk: usize,
+    running_alone: bool,
+    drain: Option<AloneDrain>,
+    no_drain_before: time::Instant,
+    paused_until: time::Instant,
+    started: time::Instant,
     backlog: backlog::Backlog,
+    busy_since: Option<time::Instant>,
+    progress: time::Instant,
+    services: service::ServiceTable,
+    occupancy: service::OccupancyTable,
 }
 
 impl AdmissionQueue {
-    /// Creates the queue of an upstream that was announced now with `slots`.
+    /// Creates the queue of a cold upstream that was announced now with `slots`.
     pub fn new(now: time::Instant, slots: u32) -> AdmissionQueue {
+        AdmissionQueue::with_limit(now, limit::ConcurrencyLimit::new(now, slots))
+    }
+
+    /// Creates the queue of an upstream with a given limit.
+    pub fn with_limit(now: time::Instant, limit: limit::ConcurrencyLimit) -> AdmissionQueue {
         AdmissionQueue {
-            limit: limit::ConcurrencyLimit::new(now, slots),
+            limit,
             running: HashMap::new(),
+            running_bulk: 0,
+            running_alone: false,
+            drain: None,
+            no_drain_before: now,
+            paused_until: now,
+            started: now,
             backlog: backlog::Backlog::new(),
+            busy_since: None,
+            progress: now,
+            services: service::ServiceTable::default(),
+            occupancy: service::OccupancyTable::default(),
         }
     }
 
     /// Decides on a request; it counts as running when the answer is `Dispatch`.
     pub fn offer(&mut self, now: time::Instant, request: AdmissionRequest) -> AdmissionDecision {
-        let _ = (now, &mut self.limit, &mut self.backlog);
-        self.running.insert(request.id, request);
-        AdmissionDecision::Dispatch
+        if let Some(refusal) = self.refuse_at_once(now, &request) {
+            return AdmissionDecision::Refused(refusal);
+        }
+        if self.can_dispatch(now, &request) {
+            self.start(now, request);
+            return AdmissionDecision::Dispatch;
+        }
+        let expected_wait = self.wait_of(now, &request);
+        if expected_wait > self.longest_wait(now, &request) {
+            let reason = RefusalReason::WaitTooLong;
+            return AdmissionDecision::Refused(AdmissionRefusal { reason, expected_wait });
+        }
+        if self.can_drain_for(now, &request) {
+            self.drain = Some(AloneDrain { request, until: now + ALONE_DRAIN });
+            return AdmissionDecision::Queued { evicted: None };
+        }
+        let mut evicted = None;
+        if self.backlog.len() >= MAX_QUEUED {
+            let Some(other) = self.backlog.evict(request.yield_rank) else {
+                let reason = RefusalReason::QueueFull;
+                return AdmissionDecision::Refused(AdmissionRefusal { reason, expected_wait });
+            };
+            let refusal = AdmissionRefusal { reason: RefusalReason::Yielded, expected_wait };
+            evicted = Some(EvictedRequest { id: other.id, refusal });
+        }
+        self.backlog.push(request);
+        self.busy_since.get_or_insert(now);
+        AdmissionDecision::Queued { evicted }
     }
 
     /// Records the end of a running request and gives its slot to others.
@@ -145,46 +234,102 @@
         id: RequestId,
         report: FinishReport,
     ) -> Vec<AdmissionAction> {
-        let _ = (now, report);
-        self.running.remove(&id);
-        Vec::new()
+        let in_flight = self.running_count();
+        let Some(ended) = self.end(now, id) else { return self.pump(now) };
+        // Work of the process before the last start says nothing about the present one.
+        if ended.dispatched < self.started {
+            return self.pump(now);
+        }
+        if report.crashed {
+            self.paused_until = now + CRASH_PAUSE;
+            self.limit = limit::ConcurrencyLimit::new(self.paused_until, self.limit.slots());
+            return self.pump(now);
+        }
+        if !report.failed {
+            self.progress = now;
+        }
+        self.limit.record(
+            now,
+            limit::LimitSample {
+                latency: report.latency,
+                target: ended.request.target,
+                dispatched: ended.dispatched,
+                in_flight,
+                shed: report.shed,
+                untimed: report.failed || ended.request.bulk || ended.request.alone,
+            },
+        );
+        if !report.failed && !report.shed {
+            self.services.learn(ended.request.class, report.latency);
+        }
+        self.pump(now)
     }
 
     /// Refuses queued requests that can't be answered in time; call it about every 10 ms.
     pub fn tick(&mut self, now: time::Instant) -> Vec<AdmissionAction> {
-        let _ = now;
-        Vec::new()
+        let services = &self.services;
+        let late = self.backlog.select(|request| is_hopeless(now, request, services));
+        let mut actions = Vec::new();
+        for id in late {
+            if let Some(request) = self.backlog.remove(id) {
+                actions.push(self.refuse_late(now, &request));
+            }
+        }
+        actions.append(&mut self.pump(now));
+        actions
     }
 
     /// Forgets a request whose caller has gone or whose deadline has passed.
     pub fn cancel(&mut self, now: time::Instant, id: RequestId) -> Vec<AdmissionAction> {
-        let _ = now;
-        self.running.remove(&id);
-        Vec::new()
+        if self.drain.is_some_and(|drain| drain.request.id == id) {
+            self.drain = None;
+        }
+        if self.backlog.remove(id).is_none() {
+            self.end(now, id);
+        }
+        self.pump(now)
     }
 
     /// Lets a queued suspect that was cleared run beside others.
     pub fn clear_alone(&mut self, now: time::Instant, id: RequestId) -> Vec<AdmissionAction> {
-        let _ = (now, id);
-        Vec::new()
+        let drained = self.drain.take_if(|drain| drain.request.id == id);
+        let waiting = drained.map(|drain| drain.request).or_else(|| self.backlog.remove(id));
+        if let Some(request) = waiting {
+            self.backlog.push(AdmissionRequest { alone: false, ..request });
+        }
+        self.pump(now)
     }
 
     /// Takes over the number of slots from a repeated announcement.
     pub fn set_slots(&mut self, now: time::Instant, slots: u32) -> Vec<AdmissionAction> {
         self.limit.set_slots(now, slots);
-        Vec::new()
+        self.pump(now)
+    }
+
+    /// Learns what the upstream reports about its load; it is a hint only.
+    pub fn report(&mut self, now: time::Instant, load: limit::ReportedLoad) {
+        self.limit.report(now, load);
     }
 
     /// Records that the upstream has started again and is cold.
     pub fn upstream_started(&mut self, now: time::Instant, slots: u32) -> Vec<AdmissionAction> {
         self.limit = limit::ConcurrencyLimit::new(now, slots);
-        Vec::new()
+        self.paused_until = now;
+        self.started = now;
+        self.progress = now;
+        self.pump(now)
     }
 
     /// Refuses everything that is queued because the upstream is gone or leaving.
     pub fn upstream_lost(&mut self, now: time::Instant) -> Vec<AdmissionAction> {
-        let _ = now;
-        Vec::new()
+        let drained = self.drain.take().map(|drain| drain.request.id);
+        let queued = self.backlog.select(|_| true);
+        self.backlog = backlog::Backlog::new();
+        self.busy_since = None;
+        let expected_wait = time::Duration::ZERO;
+        let refusal = AdmissionRefusal { reason: RefusalReason::UpstreamLost, expected_wait };
+        self.paused_until = now + CRASH_PAUSE;
+        drained.into_iter().chain(queued).map(|id| AdmissionAction::Refuse(id, refusal)).collect()
     }
 
     /// Number of running requests.
@@ -194,17 +339,222 @@
 
     /// Number of queued requests.
     pub fn queued(&self) -> usize {
-        0
+        self.backlog.len() + usize::from(self.drain.is_some())
     }
 
     /// Concurrency limit in force.
     pub fn limit(&self, now: time::Instant) -> u32 {
-        self.limit.current(now)
+        let limit = self.limit.current(now);
+        if self.is_stalled(now) { limit.min(STALLED_LIMIT) } else { limit }
     }
 
-    /// Wait that a request of this rank without a queued predecessor of its caller would expect.
+    /// Wait that a request of this rank from a new caller would expect.
     pub fn expected_wait(&self, now: time::Instant, yield_rank: u8) -> time::Duration {
-        let _ = (now, yield_rank);
-        time::Duration::ZERO
+        self.wait_of(
+            now,
+            &AdmissionRequest {
+                id: RequestId(u64::MAX),
+                class: ClassIndex(u16::MAX),
+                yield_rank,
+                caller: CallerHash(u64::MAX),
+                target: time::Duration::ZERO,
+                deadline: now,
+                bulk: false,
+                alone: false,
+            },
+        )
+    }
+
+    fn running_count(&self) -> u32 {
+        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+    }
+
+    fn refuse_at_once(
+        &self,
+        now: time::Instant,
+        request: &AdmissionRequest,
+    ) -> Option<AdmissionRefusal> {
+        let id = request.id;
+        let drained = self.drain.is_some_and(|drain| drain.request.id == id);
+        let reason = if self.running.contains_key(&id) || self.backlog.contains(id) || drained {
+            RefusalReason::DuplicateId
+        } else if request.deadline <= now {
+            RefusalReason::DeadlinePassed
+        } else if request.alone && now < self.no_drain_before && !self.running.is_empty() {
+            RefusalReason::AloneUnavailable
+        } else {
+            return None;
+        };
+        Some(AdmissionRefusal { reason, expected_wait: time::Duration::ZERO })
+    }
+
+    fn can_dispatch(&self, now: time::Instant, request: &AdmissionRequest) -> bool {
+        if request.alone && !self.running.is_empty() {
+            return false;
+        }
+        let allow_bulk = self.has_bulk_slot(now);
+        self.has_slot(now)
+            && self.drain.is_none()
+            && (allow_bulk || !request.bulk)
+            && !self.backlog.has_eligible(request.yield_rank, allow_bulk)
+    }
+
+    /// Whether a suspect is the next to run, once the upstream is empty.
+    fn can_drain_for(&self, now: time::Instant, request: &AdmissionRequest) -> bool {
+        request.alone
+            && self.drain.is_none()
+            && self.has_slot(now)
+            && !self.backlog.has_eligible(request.yield_rank, true)
+    }
+
+    fn has_slot(&self, now: time::Instant) -> bool {
+        now >= self.paused_until
+            && !self.running_alone
+            && self.running.len() < self.limit(now) as usize
+    }
+
+    /// Bulk work never occupies the last quarter of the slots, but may use an only slot.
+    fn has_bulk_slot(&self, now: time::Instant) -> bool {
+        let limit = self.limit(now) as usize;
+        let allowed = limit - limit.div_ceil(BULK_RESERVE);
+        self.running_bulk < allowed.max(1)
     }
+
+    fn is_stalled(&self, now: time::Instant) -> bool {
+        let quiet = now.since(self.progress);
+        if self.running.is_empty() || quiet < MIN_STALL || self.running_bulk > 0 {
+            return false;
+        }
+        let usual = self.services.overall_us().unwrap_or(0.0) * STALL_FACTOR;
+        quiet.0 as f64 > usual
+    }
+
+    fn start(&mut self, now: time::Instant, request: AdmissionRequest) {
+        if self.running.is_empty() {
+            self.progress = self.progress.max(now);
+        }
+        self.running_bulk += usize::from(request.bulk);
+        self.running_alone |= request.alone;
+        self.occupancy.started(now, request.yield_rank);
+        self.running.insert(request.id, RunningRequest { request, dispatched: now });
+    }
+
+    fn end(&mut self, now: time::Instant, id: RequestId) -> Option<RunningRequest> {
+        let ended = self.running.remove(&id)?;
+        self.running_bulk -= usize::from(ended.request.bulk);
+        self.running_alone &= !ended.request.alone;
+        self.occupancy.ended(now, ended.request.yield_rank);
+        Some(ended)
+    }
+
+    /// Gives free slots to queued requests.
+    fn pump(&mut self, now: time::Instant) -> Vec<AdmissionAction> {
+        let mut actions = Vec::new();
+        while self.continue_drain(now, &mut actions) && self.has_slot(now) {
+            let Some(request) = self.backlog.pop(self.has_bulk_slot(now)) else { break };
+            if is_hopeless(now, &request, &self.services) {
+                actions.push(self.refuse_late(now, &request));
+            } else if request.alone && !self.running.is_empty() {
+                self.start_drain(now, request, &mut actions);
+            } else {
+                self.start(now, request);
+                actions.push(AdmissionAction::Dispatch(request.id));
+            }
+        }
+        if self.backlog.is_empty() {
+            self.busy_since = None;
+        }
+        actions
+    }
+
+    /// Returns `true` if no suspect holds the upstream back.
+    fn continue_drain(&mut self, now: time::Instant, actions: &mut Vec<AdmissionAction>) -> bool {
+        let Some(drain) = self.drain else { return true };
+        if now >= drain.until || is_hopeless(now, &drain.request, &self.services) {
+            self.drain = None;
+            self.no_drain_before = now + ALONE_PAUSE;
+            actions.push(refuse_alone(&drain.request));
+            return true;
+        }
+        if !self.running.is_empty() || now < self.paused_until {
+            return false;
+        }
+        self.drain = None;
+        self.start(now, drain.request);
+        actions.push(AdmissionAction::Dispatch(drain.request.id));
+        false
+    }
+
+    fn start_drain(
+        &mut self,
+        now: time::Instant,
+        request: AdmissionRequest,
+        actions: &mut Vec<AdmissionAction>,
+    ) {
+        if now < self.no_drain_before {
+            actions.push(refuse_alone(&request));
+            return;
+        }
+        self.drain = Some(AloneDrain { request, until: now + ALONE_DRAIN });
+    }
+
+    fn refuse_late(&self, now: time::Instant, request: &AdmissionRequest) -> AdmissionAction {
+        let passed = request.deadline <= now;
+        let reason =
+            if passed { RefusalReason::DeadlinePassed } else { RefusalReason::WaitTooLong };
+        let expected_wait = self.wait_of(now, request);
+        AdmissionAction::Refuse(request.id, AdmissionRefusal { reason, expected_wait })
+    }
+
+    /// Expected wait for a slot, from the work ahead and the slots left by lower ranks.
+    fn wait_of(&self, now: time::Instant, request: &AdmissionRequest) -> time::Duration {
+        if self.backlog.is_empty() && self.has_slot(now) {
+            return time::Duration::ZERO;
+        }
+        let service = self.services.of(request.class, request.target);
+        let overall_us = self.services.overall_us().unwrap_or(service.mean_us);
+        let service_us = |class| match self.services.of(class, time::Duration::ZERO).mean_us {
+            0.0 => overall_us,
+            mean_us => mean_us,
+        };
+        let slots = f64::from(self.limit(now));
+        let left = (slots - self.occupancy.below(now, request.yield_rank)).max(1.0);
+        let ahead_us = self.backlog.work_ahead_us(request, service_us) + overall_us;
+        let paused = self.paused_until.since(now);
+        time::Duration((ahead_us / left) as u64) + paused + self.stalled_for(now)
+    }
+
+    fn stalled_for(&self, now: time::Instant) -> time::Duration {
+        if self.is_stalled(now) { now.since(self.progress) } else { time::Duration::ZERO }
+    }
+
+    /// Longest wait after which a response is still useful.
+    fn longest_wait(&self, now: time::Instant, request: &AdmissionRequest) -> time::Duration {
+        let service = self.services.of(request.class, request.target);
+        let left = request.deadline.since(now).0 as f64 - service.mean_us;
+        let standing = self.busy_since.is_some_and(|since| now.since(since) >= STANDING);
+        if !standing {
+            return time::Duration(left.max(0.0) as u64);
+        }
+        let target_us = request.target.0 as f64;
+        let usual_us = service.mean_us + 2.0 * service.deviation_us;
+        let allowed = (target_us - usual_us).max(target_us / MIN_WAIT_SHARE);
+        time::Duration(left.min(allowed).max(0.0) as u64)
+    }
+}
+
+/// Whether a request that is dispatched now would most likely miss its deadline.
+fn is_hopeless(
+    now: time::Instant,
+    request: &AdmissionRequest,
+    services: &service::ServiceTable,
+) -> bool {
+    let mean_us = services.of(request.class, request.target).mean_us;
+    request.deadline.since(now).0 as f64 <= mean_us * HOPELESS_SHARE
+}
+
+fn refuse_alone(request: &AdmissionRequest) -> AdmissionAction {
+    let reason = RefusalReason::AloneUnavailable;
+    let refusal = AdmissionRefusal { reason, expected_wait: ALONE_PAUSE };
+    AdmissionAction::Refuse(request.id, refusal)
 }
--- /dev/null
+++ b/crates/policy/src/ejection.rs
@@ -0,0 +1,130 @@
+//! Ejection of workers that fail or fall silent, and their return.
+
+use cornelridge_model::time;
+
+/// Failures in a row after which a worker is ejected.
+const MAX_FAILURES: u32 = 3;
+/// First and longest time for which a worker is ejected.
+const MIN_BACKOFF: time::Duration = time::Duration::from_millis(500);
+const MAX_BACKOFF: time::Duration = time::Duration::from_secs(30);
+/// A worker that has served this long starts again with the shortest backoff.
+const FORGIVEN: time::Duration = time::Duration::from_secs(60);
+
+/// Why a worker is ejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EjectionCause {
+    Failures,
+    Silence,
+}
+
+/// Whether a worker is given requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HealthState {
+    Serving { since: time::Instant },
+    Ejected { cause: EjectionCause, until: time::Instant },
+    Trial { cause: EjectionCause },
+}
+
+/// What a selector may do with a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WorkerAvailability {
+    Serving,
+    TrialDue,
+    Unavailable,
+}
+
+/// Failures of one worker and their consequence.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WorkerHealth {
+    state: HealthState,
+    failures: u32,
+    ejections: u32,
+}
+
+impl WorkerHealth {
+    pub(crate) fn new(now: time::Instant) -> WorkerHealth {
+        WorkerHealth { state: HealthState::Serving { since: now }, failures: 0, ejections: 0 }
+    }
+
+    pub(crate) fn availability(&self, now: time::Instant) -> WorkerAvailability {
+        match self.state {
+            HealthState::Serving { .. } => WorkerAvailability::Serving,
+            HealthState::Ejected { until, .. } if until <= now => WorkerAvailability::TrialDue,
+            HealthState::Ejected { .. } | HealthState::Trial { .. } => {
+                WorkerAvailability::Unavailable
+            }
+        }
+    }
+
+    pub(crate) fn ejected_for(&self) -> Option<EjectionCause> {
+        match self.state {
+            HealthState::Serving { .. } => None,
+            HealthState::Ejected { cause, .. } | HealthState::Trial { cause } => Some(cause),
+        }
+    }
+
+    pub(crate) fn start_trial(&mut self) {
+        if let HealthState::Ejected { cause, .. } = self.state {
+            self.state = HealthState::Trial { cause };
+        }
+    }
+
+    /// Returns `true` if the worker came back from an ejection.
+    pub(crate) fn succeeded(&mut self, now: time::Instant) -> bool {
+        self.failures = 0;
+        match self.state {
+            HealthState::Serving { .. } => false,
+            // A response to an earlier request shows that the worker is alive; it is tried now.
+            HealthState::Ejected { cause, .. } => {
+                self.state = HealthState::Ejected { cause, until: now };
+                false
+            }
+            HealthState::Trial { .. } => {
+                self.state = HealthState::Serving { since: now };
+                true
+            }
+        }
+    }
+
+    /// Returns `true` if the worker has failed often enough to be ejected.
+    pub(crate) fn failed(&mut self, now: time::Instant) -> bool {
+        self.failures = self.failures.saturating_add(1);
+        match self.state {
+            HealthState::Serving { .. } => self.failures >= MAX_FAILURES,
+            HealthState::Ejected { .. } => false,
+            HealthState::Trial { cause } => {
+                self.eject(now, cause);
+                false
+            }
+        }
+    }
+
+    /// Ends a trial without a result, so that another can start; a slow one counts as failed.
+    pub(crate) fn trial_given_up(&mut self, now: time::Instant, slow: bool) {
+        match self.state {
+            HealthState::Trial { cause } if slow => self.eject(now, cause),
+            HealthState::Trial { cause } => {
+                self.state = HealthState::Ejected { cause, until: now + MIN_BACKOFF };
+            }
+            HealthState::Serving { .. } | HealthState::Ejected { .. } => {}
+        }
+    }
+
+    /// Ends an ejection without a trial.
+    pub(crate) fn reinstate(&mut self, since: time::Instant) {
+        self.state = HealthState::Serving { since };
+    }
+
+    pub(crate) fn eject(&mut self, now: time::Instant, cause: EjectionCause) {
+        if let HealthState::Serving { since } = self.state
+            && now.since(since) >= FORGIVEN
+        {
+            self.ejections = 0;
+        }
+        let backoff = MIN_BACKOFF.0.saturating_mul(1 << self.ejections.min(10));
+        let until = now + time::Duration(backoff.min(MAX_BACKOFF.0));
+        self.state = HealthState::Ejected { cause, until };
+        self.ejections = self.ejections.saturating_add(1);
+        self.failures = 0;
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,9 +24,11 @@
 
 pub mod admission;
 mod backlog;
+mod ejection;
 pub mod hedge;
 pub mod limit;
 pub mod meter;
 pub mod quarantine;
 pub mod retry;
 pub mod selection;
+mod service;
--- /dev/null
+++ b/crates/policy/tests/quarantine.rs
@@ -0,0 +1,144 @@
+//! Requests that crash upstreams: suspects, clearing, refusal and propagation.
+
+use std::collections::HashSet;
+
+use cornelridge_model::ident;
+use cornelridge_model::time;
+use cornelridge_policy::quarantine;
+
+const SEEDS: [u64; 8] = [1, 2, 3, 5, 8, 13, 21, 34];
+const NOW: time::Instant = time::Instant(1_000_000);
+
+fn print(value: u64) -> quarantine::RequestFingerprint {
+    quarantine::RequestFingerprint(value)
+}
+
+fn crash(node: u64) -> quarantine::CrashId {
+    quarantine::CrashId { node: ident::IncarnationId(node), sequence: 1 }
+}
+
+fn refuse() -> quarantine::SuspectDecision {
+    quarantine::SuspectDecision::Refuse { remaining: quarantine::QUARANTINE }
+}
+
+/// Guards against losing a third upstream, and against refusing requests that stood beside.
+#[test]
+fn second_crash_refuses_and_completion_clears() {
+    let mut registry = quarantine::SuspectRegistry::new();
+    registry.crashed(NOW, crash(1), &[print(1), print(2), print(3)]);
+    assert_eq!(registry.decide(NOW, print(2)), quarantine::SuspectDecision::RunAlone);
+    assert_eq!(registry.decide(NOW, print(9)), quarantine::SuspectDecision::Pass);
+    registry.crashed(NOW, crash(2), &[print(2)]);
+    assert_eq!(registry.decide(NOW, print(2)), refuse());
+    assert_eq!(registry.decide(NOW, print(1)), quarantine::SuspectDecision::RunAlone);
+    assert!(registry.completed(NOW, print(1)).is_some());
+    assert_eq!(registry.decide(NOW, print(1)), quarantine::SuspectDecision::Pass);
+    assert_eq!(registry.completed(NOW, print(2)), None, "a refused request isn't cleared");
+}
+
+/// Guards against a response to a request from before the crash clearing a suspect.
+#[test]
+fn earlier_requests_clear_nothing() {
+    let mut registry = quarantine::SuspectRegistry::new();
+    registry.crashed(NOW, crash(1), &[print(1)]);
+    assert_eq!(registry.completed(time::Instant(NOW.0 - 1), print(1)), None);
+    assert_eq!(registry.decide(NOW, print(1)), quarantine::SuspectDecision::RunAlone);
+}
+
+/// Guards against a refusal that never ends.
+#[test]
+fn refusal_ends_after_ten_minutes() {
+    let mut registry = quarantine::SuspectRegistry::new();
+    registry.crashed(NOW, crash(1), &[print(1)]);
+    registry.crashed(NOW, crash(2), &[print(1)]);
+    let end = NOW + time::Duration::from_secs(600);
+    let last = time::Instant(end.0 - 1);
+    let remaining = time::Duration(1);
+    let refused = quarantine::SuspectDecision::Refuse { remaining };
+    assert_eq!(registry.decide(last, print(1)), refused);
+    assert_eq!(registry.decide(end, print(1)), quarantine::SuspectDecision::Pass);
+    registry.tick(end);
+    assert!(registry.is_empty());
+}
+
+/// Guards against counting one crash twice when its notice arrives by several ways.
+#[test]
+fn notices_are_idempotent_and_reach_every_node() {
+    let mut nodes: Vec<_> = (0..3).map(|_| quarantine::SuspectRegistry::new()).collect();
+    let first = nodes[0].crashed(NOW, crash(1), &[print(1), print(2)]);
+    for node in &mut nodes[1..] {
+        for notice in &first {
+            assert!(node.merge(NOW, *notice));
+            assert!(!node.merge(NOW, *notice));
+        }
+        assert_eq!(node.decide(NOW, print(1)), quarantine::SuspectDecision::RunAlone);
+    }
+    let cleared = nodes[1].completed(NOW, print(2)).expect("print 2 is a suspect");
+    let second = nodes[1].crashed(NOW, crash(2), &[print(1)]);
+    for node in &mut nodes {
+        second.iter().chain([&cleared]).for_each(|notice| {
+            node.merge(NOW, *notice);
+        });
+        assert_eq!(node.decide(NOW, print(1)), refuse());
+        assert_eq!(node.decide(NOW, print(2)), quarantine::SuspectDecision::Pass);
+    }
+    let mut joined = quarantine::SuspectRegistry::new();
+    nodes[0].notices(NOW).into_iter().for_each(|notice| {
+        joined.merge(NOW, notice);
+    });
+    assert_eq!(joined.decide(NOW, print(1)), refuse());
+}
+
+/// Guards against unbounded memory, and against forgetting a refused request for a suspect.
+#[test]
+fn memory_is_bounded_and_refusals_stay() {
+    let mut registry = quarantine::SuspectRegistry::new();
+    registry.crashed(NOW, crash(1), &[print(0)]);
+    registry.crashed(NOW, crash(2), &[print(0)]);
+    for value in 1..10_000 {
+        registry.crashed(NOW, crash(value + 2), &[print(value)]);
+    }
+    assert_eq!(registry.len(), quarantine::MAX_ENTRIES);
+    assert_eq!(registry.decide(NOW, print(0)), refuse());
+}
+
+/// Guards against one request crashing more than two upstreams while its caller repeats it.
+#[test]
+fn one_request_crashes_at_most_two_upstreams() {
+    for seed in SEEDS {
+        arbtest::arbtest(|u| {
+            let mut rng = fastrand::Rng::with_seed(u.arbitrary()?);
+            let mut registry = quarantine::SuspectRegistry::new();
+            let poison = print(rng.u64(0..20));
+            let (mut crashes, mut bystanders_refused) = (0, 0);
+            let mut running = HashSet::new();
+            for step in 0..2_000 {
+                let now = NOW + time::Duration::from_millis(step);
+                let chosen = print(rng.u64(0..20));
+                match registry.decide(now, chosen) {
+                    quarantine::SuspectDecision::Refuse { .. } => {
+                        bystanders_refused += u32::from(chosen != poison);
+                        continue;
+                    }
+                    quarantine::SuspectDecision::RunAlone => running.clear(),
+                    quarantine::SuspectDecision::Pass => {}
+                }
+                running.insert(chosen);
+                if chosen == poison {
+                    crashes += 1;
+                    let in_flight: Vec<_> = running.drain().collect();
+                    registry.crashed(now, crash(step), &in_flight);
+                } else {
+                    registry.completed(now, chosen);
+                }
+                if running.len() > 11 {
+                    running.clear();
+                }
+            }
+            assert!(crashes <= 2, "{crashes} upstreams lost");
+            assert_eq!(bystanders_refused, 0, "suspects run alone, so only one is refused");
+            Ok(())
+        })
+        .seed(seed << 32 | 64);
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/retry.rs
@@ -0,0 +1,151 @@
+//! Retries and hedges: bounds by budget, deadline and class.
+
+use cornelridge_model::outcome;
+use cornelridge_model::time;
+use cornelridge_policy::hedge;
+use cornelridge_policy::retry;
+
+const SEEDS: [u64; 8] = [1, 2, 3, 5, 8, 13, 21, 34];
+
+fn failed(now: time::Instant) -> retry::FailedAttempt {
+    retry::FailedAttempt {
+        idempotent: true,
+        outcome: outcome::RequestOutcome::Unknown,
+        attempts: 1,
+        deadline: now + time::Duration::from_secs(1),
+        expected_latency: time::Duration::from_millis(10),
+        other_worker: true,
+        refused_everywhere: false,
+        response_started: false,
+    }
+}
+
+fn decide(attempt: &retry::FailedAttempt, budget: &mut retry::RetryBudget) -> retry::RetryDecision {
+    let mut rng = fastrand::Rng::with_seed(1);
+    retry::RetryPolicy.decide(time::Instant(0), attempt, budget, &mut rng)
+}
+
+/// Guards against a retry storm: at 100% failure the traffic grows by a tenth plus the floor.
+#[test]
+fn retries_stay_within_the_budget_when_everything_fails() {
+    for seed in SEEDS {
+        arbtest::arbtest(|u| {
+            let mut rng = fastrand::Rng::with_seed(u.arbitrary()?);
+            let mut budget = retry::RetryBudget::new(time::Instant(0));
+            let gap = rng.u64(100..20_000);
+            let (mut now, mut requests, mut retries) = (time::Instant(0), 0_u64, 0_u64);
+            for _ in 0..20_000 {
+                now = now + time::Duration(rng.u64(0..gap));
+                budget.request_started(now);
+                requests += 1;
+                let mut attempt = failed(now);
+                while let retry::RetryDecision::Retry { .. } =
+                    retry::RetryPolicy.decide(now, &attempt, &mut budget, &mut rng)
+                {
+                    retries += 1;
+                    attempt.attempts += 1;
+                }
+                assert!(attempt.attempts <= retry::MAX_ATTEMPTS);
+                let allowed = 20.0 + requests as f64 * 0.1 + now.0 as f64 / 1e6;
+                assert!(retries as f64 <= allowed, "{retries} retries of {requests} requests");
+            }
+            Ok(())
+        })
+        .seed(seed << 32 | 64);
+    }
+}
+
+/// Guards against a second execution in a class that isn't idempotent.
+#[test]
+fn only_repeatable_work_is_repeated() {
+    let mut budget = retry::RetryBudget::new(time::Instant(0));
+    let attempt = retry::FailedAttempt { idempotent: false, ..failed(time::Instant(0)) };
+    for outcome in [outcome::RequestOutcome::Unknown, outcome::RequestOutcome::Run] {
+        let decision = decide(&retry::FailedAttempt { outcome, ..attempt }, &mut budget);
+        let reason = retry::AnswerReason::NotRepeatable;
+        assert_eq!(decision, retry::RetryDecision::Answer(reason));
+    }
+    let outcome = outcome::RequestOutcome::NotRun;
+    let decision = decide(&retry::FailedAttempt { outcome, ..attempt }, &mut budget);
+    assert_eq!(decision, retry::RetryDecision::Retry { delay: time::Duration::ZERO });
+}
+
+/// Guards against retries that can't help: after the deadline, mid-response, or refused anywhere.
+#[test]
+fn hopeless_retries_are_answered_without_a_token() {
+    let mut budget = retry::RetryBudget::new(time::Instant(0));
+    let base = failed(time::Instant(0));
+    let cases = [
+        (
+            retry::FailedAttempt { deadline: time::Instant(9_000), ..base },
+            retry::AnswerReason::DeadlineTooClose,
+        ),
+        (
+            retry::FailedAttempt { response_started: true, ..base },
+            retry::AnswerReason::ResponseStarted,
+        ),
+        (
+            retry::FailedAttempt { refused_everywhere: true, ..base },
+            retry::AnswerReason::RefusedEverywhere,
+        ),
+        (
+            retry::FailedAttempt { attempts: retry::MAX_ATTEMPTS, ..base },
+            retry::AnswerReason::AttemptsUsed,
+        ),
+    ];
+    let before = budget.remaining();
+    for (attempt, reason) in cases {
+        assert_eq!(decide(&attempt, &mut budget), retry::RetryDecision::Answer(reason));
+    }
+    assert_eq!(budget.remaining(), before);
+}
+
+/// Guards against hammering the only worker of a key.
+#[test]
+fn retry_on_the_same_worker_waits() {
+    let mut budget = retry::RetryBudget::new(time::Instant(0));
+    let attempt = retry::FailedAttempt { other_worker: false, ..failed(time::Instant(0)) };
+    let retry::RetryDecision::Retry { delay } = decide(&attempt, &mut budget) else {
+        panic!("there is budget and time");
+    };
+    assert!(delay >= time::Duration::from_millis(5) && delay <= time::Duration::from_millis(10));
+}
+
+fn record(policy: &mut hedge::HedgePolicy, from_ms: u64, slow_share: u64) {
+    for step in 0..1_000 {
+        let slow = step % 100 < slow_share;
+        let latency = time::Duration::from_millis(if slow { 400 } else { 10 });
+        policy.record(time::Instant((from_ms + step) * 1_000), latency);
+    }
+}
+
+/// Guards against hedging classes that meet their target or may not be repeated.
+#[test]
+fn only_idempotent_classes_that_miss_their_target_are_hedged() {
+    let target = time::Duration::from_millis(50);
+    let now = time::Instant(1_000_000);
+    let mut meeting = hedge::HedgePolicy::new(true, target, 99.0);
+    record(&mut meeting, 0, 0);
+    assert_eq!(meeting.delay(now), None);
+    let mut single = hedge::HedgePolicy::new(false, target, 99.0);
+    record(&mut single, 0, 5);
+    assert_eq!(single.delay(now), None);
+    let mut missing = hedge::HedgePolicy::new(true, target, 99.0);
+    record(&mut missing, 0, 5);
+    let delay = missing.delay(now).expect("5% take 400 ms");
+    assert!(delay >= time::Duration::from_millis(10) && delay <= target, "{delay:?}");
+    record(&mut missing, 30_000, 0);
+    assert_eq!(missing.delay(time::Instant(31_000_000)), None, "it ends with its cause");
+}
+
+/// Guards against hedges outside the budget that they share with retries.
+#[test]
+fn hedges_draw_on_the_budget() {
+    let policy = hedge::HedgePolicy::new(true, time::Duration::from_millis(50), 99.0);
+    let mut budget = retry::RetryBudget::new(time::Instant(0));
+    let deadline = time::Instant(1_000_000);
+    let sent =
+        (0..1_000).filter(|_| policy.try_hedge(time::Instant(0), deadline, &mut budget)).count();
+    assert_eq!(sent, 20);
+    assert!(!policy.try_hedge(deadline, deadline, &mut retry::RetryBudget::new(deadline)));
+}
