--- /dev/null
+++ b/crates/standin/tests/load_model.rs
@@ -0,0 +1,65 @@
+//! The load model: determinism and the bounds that the policy states.
+
+use cornelridge_model::time;
+use cornelridge_standin::load_model;
+
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+fn mixes() -> [load_model::LoadModel; 2] {
+    [load_model::LoadModel::bogota(), load_model::LoadModel::nairobi()]
+}
+
+fn scenario(mix: &load_model::LoadModel, name: &str) -> load_model::LoadModel {
+    let found = mix.scenarios().into_iter().find(|scenario| scenario.name == name);
+    let scenario = found.unwrap_or_else(|| mix.clone());
+    assert_eq!(scenario.name, name);
+    load_model::LoadModel { length: time::Duration::from_secs(12), ..scenario }
+}
+
+fn run(scenario: &load_model::LoadModel, seed: u64) -> load_model::ModelReport {
+    scenario.run(load_model::RoutingScheme::Policy, seed)
+}
+
+/// Guards against figures that can't be reproduced.
+#[test]
+fn same_seed_gives_the_same_report() {
+    for mix in mixes() {
+        let down = scenario(&mix, "down 8 s");
+        assert_eq!(run(&down, 1).to_string(), run(&down, 1).to_string());
+        assert_ne!(run(&down, 1).to_string(), run(&down, 2).to_string());
+    }
+}
+
+/// Guards against a policy that misses targets without any fault or overload.
+#[test]
+fn every_class_meets_its_target_in_the_steady_state() {
+    for (mix, seed) in mixes().iter().zip(SEEDS) {
+        for class in run(&scenario(mix, "steady"), seed).classes {
+            assert!(class.in_target * 100 >= class.offered * 99, "seed {seed}: {class:?}");
+        }
+    }
+}
+
+/// Guards against losing a third worker to one request whose caller repeats it.
+#[test]
+fn one_request_crashes_at_most_two_workers() {
+    for mix in mixes() {
+        for seed in SEEDS {
+            let report = run(&scenario(&mix, "crashing request"), seed);
+            assert!((1..=2).contains(&report.crashes), "seed {seed}: {report}");
+        }
+    }
+}
+
+/// Guards against retries beyond a tenth of the traffic while every class is overloaded.
+#[test]
+fn overload_causes_no_retry_storm() {
+    for mix in mixes() {
+        let report = run(&scenario(&mix, "overload 2x"), 1);
+        let offered: u64 = report.classes.iter().map(|class| class.offered).sum();
+        // Ten nodes with a budget per class: 20 tokens at first and one each second, for the
+        // 12 s of the run and the 15 s of the longest deadline.
+        let floor = 10.0 * report.classes.len() as f64 * (20.0 + 27.0);
+        assert!(report.extra_attempts <= 0.1 + floor / offered as f64, "{report}");
+    }
+}
