Refuse late requests of a standing queue at dispatch

Cause: the wait is estimated at arrival, but callers that come later take turns with the queued ones, so many requests waited longer than estimated and were answered after their target while later ones could still have met it. Change: a queue that hasn't been empty for 100 ms refuses a request at its turn if it has waited longer than the target leaves beside its service time. Work held back by a suspect, a restart or a stall isn't refused for that wait; the existing test of a suspect that gives way found this.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -222,7 +222,7 @@
             let refusal = AdmissionRefusal { reason: RefusalReason::Yielded, expected_wait };
             evicted = Some(EvictedRequest { id: other.id, refusal });
         }
-        self.backlog.push(request);
+        self.backlog.push(now, request);
         self.busy_since.get_or_insert(now);
         AdmissionDecision::Queued { evicted }
     }
@@ -246,6 +246,9 @@
             return self.pump(now);
         }
         if !report.failed {
+            if self.is_stalled(now) {
+                self.forgive_wait(now);
+            }
             self.progress = now;
         }
         self.limit.record(
@@ -295,7 +298,7 @@
         let drained = self.drain.take_if(|drain| drain.request.id == id);
         let waiting = drained.map(|drain| drain.request).or_else(|| self.backlog.remove(id));
         if let Some(request) = waiting {
-            self.backlog.push(AdmissionRequest { alone: false, ..request });
+            self.backlog.push(now, AdmissionRequest { alone: false, ..request });
         }
         self.pump(now)
     }
@@ -317,6 +320,7 @@
         self.paused_until = now;
         self.started = now;
         self.progress = now;
+        self.forgive_wait(now);
         self.pump(now)
     }
 
@@ -442,7 +446,10 @@
     fn end(&mut self, now: time::Instant, id: RequestId) -> Option<RunningRequest> {
         let ended = self.running.remove(&id)?;
         self.running_bulk -= usize::from(ended.request.bulk);
-        self.running_alone &= !ended.request.alone;
+        if ended.request.alone {
+            self.running_alone = false;
+            self.forgive_wait(now);
+        }
         self.occupancy.ended(now, ended.request.yield_rank);
         Some(ended)
     }
@@ -451,8 +458,12 @@
     fn pump(&mut self, now: time::Instant) -> Vec<AdmissionAction> {
         let mut actions = Vec::new();
         while self.continue_drain(now, &mut actions) && self.has_slot(now) {
-            let Some(request) = self.backlog.pop(self.has_bulk_slot(now)) else { break };
-            if is_hopeless(now, &request, &self.services) {
+            let Some(waiting) = self.backlog.pop(self.has_bulk_slot(now)) else { break };
+            let request = waiting.request;
+            let waited = now.since(waiting.queued);
+            if is_hopeless(now, &request, &self.services)
+                || (self.is_standing(now) && waited > self.useful_wait(&request))
+            {
                 actions.push(self.refuse_late(now, &request));
             } else if request.alone && !self.running.is_empty() {
                 self.start_drain(now, request, &mut actions);
@@ -473,6 +484,7 @@
         if now >= drain.until || is_hopeless(now, &drain.request, &self.services) {
             self.drain = None;
             self.no_drain_before = now + ALONE_PAUSE;
+            self.forgive_wait(now);
             actions.push(refuse_alone(&drain.request));
             return true;
         }
@@ -532,14 +544,25 @@
     fn longest_wait(&self, now: time::Instant, request: &AdmissionRequest) -> time::Duration {
         let service = self.services.of(request.class, request.target);
         let left = request.deadline.since(now).0 as f64 - service.mean_us;
-        let standing = self.busy_since.is_some_and(|since| now.since(since) >= STANDING);
-        if !standing {
-            return time::Duration(left.max(0.0) as u64);
-        }
+        let left = time::Duration(left.max(0.0) as u64);
+        if self.is_standing(now) { left.min(self.useful_wait(request)) } else { left }
+    }
+
+    fn is_standing(&self, now: time::Instant) -> bool {
+        self.busy_since.is_some_and(|since| now.since(since) >= STANDING)
+    }
+
+    /// A queue that was held back, rather than overloaded, counts as standing only from now on.
+    fn forgive_wait(&mut self, now: time::Instant) {
+        self.busy_since = self.busy_since.map(|_| now);
+    }
+
+    /// Longest wait after which a response usually still meets the target.
+    fn useful_wait(&self, request: &AdmissionRequest) -> time::Duration {
+        let service = self.services.of(request.class, request.target);
         let target_us = request.target.0 as f64;
         let usual_us = service.mean_us + 2.0 * service.deviation_us;
-        let allowed = (target_us - usual_us).max(target_us / MIN_WAIT_SHARE);
-        time::Duration(left.min(allowed).max(0.0) as u64)
+        time::Duration((target_us - usual_us).max(target_us / MIN_WAIT_SHARE) as u64)
     }
 }
 
--- a/crates/policy/src/backlog.rs
+++ b/crates/policy/src/backlog.rs
@@ -10,6 +10,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct WaitingRequest {
     pub(crate) request: admission::AdmissionRequest,
+    pub(crate) queued: time::Instant,
     sequence: u64,
 }
 
@@ -152,8 +153,8 @@
         self.waiting.contains_key(&id)
     }
 
-    pub(crate) fn push(&mut self, request: admission::AdmissionRequest) {
-        let waiting = WaitingRequest { request, sequence: self.sequence };
+    pub(crate) fn push(&mut self, queued: time::Instant, request: admission::AdmissionRequest) {
+        let waiting = WaitingRequest { request, queued, sequence: self.sequence };
         self.sequence += 1;
         self.ranks.entry(request.yield_rank).or_default().lane(&request).push(&waiting);
         self.waiting.insert(request.id, waiting);
@@ -165,9 +166,9 @@
     }
 
     /// Takes the next request: the lowest rank, then class, caller and deadline.
-    pub(crate) fn pop(&mut self, allow_bulk: bool) -> Option<admission::AdmissionRequest> {
+    pub(crate) fn pop(&mut self, allow_bulk: bool) -> Option<WaitingRequest> {
         let id = self.ranks.values_mut().find_map(|lane| lane.pop(allow_bulk))?;
-        self.waiting.remove(&id).map(|waiting| waiting.request)
+        self.waiting.remove(&id)
     }
 
     pub(crate) fn remove(
