--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod caller;
 pub mod deployment;
 pub mod host;
+pub mod load_model;
 pub mod mesh;
 pub mod payload;
 pub mod soak;
