Add the assignment planner

The region needs documents in which every key has at most one owner, every lease has three guards in three zones, and load follows the members (design 4.2, 4.5, 5.8).

Planner::plan keeps members and leases up to date, replaces a lost guard with a new generation, settles moves, repairs chains, cuts out hot keys and balances measured load. Replacements are written at once; settlement, hot keys and balance wait for a round whose interval follows from the size of the document, because every node has to fetch it. First successors come from four partners of the owner, so that a successor has few peers to probe.

--- /dev/null
+++ b/crates/control/src/planner/chains.rs
@@ -0,0 +1,165 @@
+//! Chains of slices: settlement, replacement of members, and the first slices of a class.
+
+use cornelridge_model::{assignment, ident, key};
+
+use super::draft::Draft;
+use super::observations::Observations;
+use super::placement::{Placement, ServerKey};
+
+/// Slices that a class gets for each member that serves it.
+pub(crate) const SLICES_PER_MEMBER: usize = 64;
+/// Slices for each member below which all slices are halved.
+const FEWEST_SLICES_PER_MEMBER: usize = 48;
+/// Share of the slices of a class whose chains are changed in one call only to use more zones.
+const IMPROVED_SHARE: usize = 8;
+
+/// Drops `previous` where each member of it has confirmed the move or has expired.
+pub(crate) fn settle(draft: &mut Draft, observations: &Observations) -> usize {
+    let document = &draft.document;
+    let is_settled = |slice: &assignment::SliceRecord| {
+        slice.previous.iter().all(|lease| {
+            let holder = document.holder(*lease).incarnation;
+            draft.is_dead(*lease) || observations.has_confirmed(holder, slice.since)
+        })
+    };
+    let mut settled = Vec::new();
+    for (class, slices) in document.classes.iter().enumerate() {
+        let moved = slices.slices.iter().enumerate().filter(|(_, s)| !s.previous.is_empty());
+        settled.extend(moved.filter(|(_, s)| is_settled(s)).map(|(slice, _)| (class, slice)));
+    }
+    for (class, slice) in &settled {
+        draft.document.classes[*class].slices[*slice].previous.clear();
+    }
+    settled.len()
+}
+
+/// Changes the chain of a settled slice; the old one is kept until the move is settled.
+pub(crate) fn change_chain(
+    slice: &mut assignment::SliceRecord,
+    chain: Vec<assignment::LeaseKey>,
+    epoch: ident::EpochNumber,
+) {
+    slice.previous = std::mem::replace(&mut slice.chain, chain);
+    slice.since = epoch;
+}
+
+/// Creates the slices of a class, or halves them when the class has grown.
+pub(crate) fn divide(draft: &mut Draft, class: usize, placement: &mut Placement) -> bool {
+    let slices = &mut draft.document.classes[class].slices;
+    if slices.is_empty() {
+        *slices = first_slices(placement, draft.document.epoch);
+        draft.is_changed = true;
+        return true;
+    }
+    let wanted = placement.len() * FEWEST_SLICES_PER_MEMBER;
+    let mut is_divided = false;
+    while slices.len() < wanted && slices.len() * 2 <= assignment::MAX_SLICES {
+        let before = slices.len();
+        *slices = halves(slices);
+        if slices.len() == before {
+            break;
+        }
+        is_divided = true;
+    }
+    draft.is_changed |= is_divided;
+    is_divided
+}
+
+fn first_slices(
+    placement: &mut Placement,
+    epoch: ident::EpochNumber,
+) -> Vec<assignment::SliceRecord> {
+    let count = (placement.len() * SLICES_PER_MEMBER).min(assignment::MAX_SLICES);
+    let step = u128::from(u64::MAX) + 1;
+    let mut slices = Vec::with_capacity(count);
+    for index in 0..count {
+        let start = (step * index as u128 / count as u128) as u64;
+        let mut chain = vec![ServerKey((index % placement.len()) as u16)];
+        placement.fill(&mut chain, start);
+        let chain = leases(placement, &chain);
+        placement.count(&chain);
+        let start = key::KeyHash(start);
+        slices.push(assignment::SliceRecord { start, chain, since: epoch, previous: Vec::new() });
+    }
+    slices
+}
+
+/// Each slice in two halves with the same chain, which moves nothing.
+fn halves(slices: &[assignment::SliceRecord]) -> Vec<assignment::SliceRecord> {
+    let ends = slices.iter().skip(1).map(|slice| slice.start.0 - 1).chain([u64::MAX]);
+    let mut halved = Vec::with_capacity(slices.len() * 2);
+    for (slice, end) in slices.iter().zip(ends) {
+        halved.push(slice.clone());
+        if end > slice.start.0 {
+            let middle = slice.start.0 + (end - slice.start.0) / 2 + 1;
+            halved.push(assignment::SliceRecord { start: key::KeyHash(middle), ..slice.clone() });
+        }
+    }
+    halved
+}
+
+fn leases(placement: &Placement, chain: &[ServerKey]) -> Vec<assignment::LeaseKey> {
+    chain.iter().map(|server| placement.lease(*server)).collect()
+}
+
+/// Replaces members of settled chains that can't serve, and completes chains that are short.
+pub(crate) fn repair(draft: &mut Draft, class: usize, placement: &mut Placement) {
+    if placement.len() == 0 {
+        return;
+    }
+    let epoch = draft.document.epoch;
+    let count = draft.document.classes[class].slices.len();
+    let mut improvements = count / IMPROVED_SHARE + 1;
+    for index in 0..count {
+        let slice = &draft.document.classes[class].slices[index];
+        if !slice.previous.is_empty() {
+            continue;
+        }
+        let Some(chain) = repaired(draft, class, slice, placement, &mut improvements) else {
+            continue;
+        };
+        placement.count(&chain);
+        change_chain(&mut draft.document.classes[class].slices[index], chain, epoch);
+        draft.is_changed = true;
+    }
+}
+
+/// The chain that a slice should have, if it differs.
+fn repaired(
+    draft: &Draft,
+    class: usize,
+    slice: &assignment::SliceRecord,
+    placement: &Placement,
+    improvements: &mut usize,
+) -> Option<Vec<assignment::LeaseKey>> {
+    let class = &draft.document.classes[class].class;
+    let continued = slice.chain.iter().map(|lease| draft.successor_lease(*lease, class));
+    let mut servers = Vec::<ServerKey>::with_capacity(assignment::MAX_CHAIN);
+    for server in continued.filter_map(|lease| placement.server(lease?)) {
+        if !servers.contains(&server) {
+            servers.push(server);
+        }
+    }
+    let is_whole = slice.chain.len() == servers.len()
+        && slice.chain.iter().zip(&servers).all(|(held, next)| *held == placement.lease(*next));
+    if is_whole && servers.len() >= placement.chain_length() {
+        if *improvements == 0 || !placement.can_spread(&servers) {
+            return None;
+        }
+        *improvements -= 1;
+        servers = placement.spread(&servers);
+    }
+    if servers.is_empty() {
+        servers.extend(first_open(placement, slice.start.0));
+    }
+    placement.fill(&mut servers, slice.start.0);
+    let chain = leases(placement, &servers);
+    (!chain.is_empty() && chain != slice.chain).then_some(chain)
+}
+
+/// An owner for a slice whose whole chain is lost, spread by the hash of its start.
+fn first_open(placement: &Placement, start: u64) -> Option<ServerKey> {
+    let servers = (0..placement.len() as u16).map(ServerKey);
+    let open = servers.filter(|server| placement.servers[server.index()].is_open);
+    open.min_by_key(|server| super::mix(start, u64::from(placement.lease(*server).0)))
+}
--- /dev/null
+++ b/crates/control/src/planner/draft.rs
@@ -0,0 +1,178 @@
+//! The next document while it is being computed.
+
+use std::collections::BTreeSet;
+
+use cornelridge_model::{assignment, ident};
+
+use super::observations::Observations;
+
+/// What a member can do in the next document.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum MemberRole {
+    /// Owns slices and guards leases.
+    Serving,
+    /// Guards leases; its upstream is missing or not sliced.
+    Idle,
+    /// Gives its slices and its guard duties away.
+    Leaving,
+    /// Lost or replaced.
+    Lost,
+}
+
+/// A document with facts about its members and leases.
+#[derive(Debug)]
+pub(crate) struct Draft {
+    pub(crate) document: assignment::AssignmentDocument,
+    pub(crate) roles: Vec<MemberRole>,
+    /// Newest lease of each member.
+    pub(crate) newest: Vec<Option<assignment::LeaseKey>>,
+    /// Whether each lease is expired or retired.
+    pub(crate) dead: Vec<bool>,
+    pub(crate) is_changed: bool,
+}
+
+impl Draft {
+    pub(crate) fn new(
+        document: assignment::AssignmentDocument,
+        observations: &Observations,
+    ) -> Draft {
+        let mut newest = vec![None; document.members.len()];
+        let mut dead = Vec::with_capacity(document.leases.len());
+        for index in 0..document.leases.len() {
+            let key = assignment::LeaseKey(index as u16);
+            let lease = document.lease(key);
+            dead.push(lease.retired || observations.is_expired(document.lease_id(key)));
+            let held = &mut newest[usize::from(lease.holder.0)];
+            let is_newer = held.is_none_or(|held: assignment::LeaseKey| {
+                document.lease(held).generation < lease.generation
+            });
+            if is_newer {
+                *held = Some(key);
+            }
+        }
+        let roles = vec![MemberRole::Idle; document.members.len()];
+        Draft { document, roles, newest, dead, is_changed: false }
+    }
+
+    pub(crate) fn role(&self, member: assignment::MemberKey) -> MemberRole {
+        self.roles[usize::from(member.0)]
+    }
+
+    pub(crate) fn is_dead(&self, lease: assignment::LeaseKey) -> bool {
+        self.dead[usize::from(lease.0)]
+    }
+
+    pub(crate) fn member_keys(&self) -> impl Iterator<Item = assignment::MemberKey> + use<> {
+        (0..self.document.members.len() as u16).map(assignment::MemberKey)
+    }
+
+    pub(crate) fn incarnation(&self, member: assignment::MemberKey) -> ident::IncarnationId {
+        self.document.member(member).incarnation
+    }
+
+    pub(crate) fn push_member(&mut self, member: assignment::MemberRecord) {
+        self.document.members.push(member);
+        self.roles.push(MemberRole::Idle);
+        self.newest.push(None);
+        self.is_changed = true;
+    }
+
+    /// Adds a lease of the next generation.
+    pub(crate) fn push_lease(
+        &mut self,
+        holder: assignment::MemberKey,
+        generation: u32,
+        guards: Vec<assignment::MemberKey>,
+    ) {
+        let key = assignment::LeaseKey(self.document.leases.len() as u16);
+        let lease = assignment::LeaseRecord { holder, generation, guards, retired: false };
+        self.document.leases.push(lease);
+        self.dead.push(false);
+        self.newest[usize::from(holder.0)] = Some(key);
+        self.is_changed = true;
+    }
+
+    /// The lease by which a member of a chain continues: itself, or a newer generation of the
+    /// same holder. `None` if the holder shouldn't serve `class` any more.
+    pub(crate) fn successor_lease(
+        &self,
+        lease: assignment::LeaseKey,
+        class: &str,
+    ) -> Option<assignment::LeaseKey> {
+        let holder = self.document.lease(lease).holder;
+        let is_serving = self.role(holder) == MemberRole::Serving;
+        if self.is_dead(lease) || !is_serving || *self.document.member(holder).class != *class {
+            return None;
+        }
+        self.newest[usize::from(holder.0)].filter(|newest| !self.is_dead(*newest))
+    }
+
+    /// Removes members and leases that nothing needs, and renumbers the rest. A member that is
+    /// still registered keeps its newest lease, so that no generation is used twice.
+    pub(crate) fn compact(mut self, keep: &BTreeSet<ident::IncarnationId>) -> Draft {
+        let document = &mut self.document;
+        let mut used_leases = vec![false; document.leases.len()];
+        for slice in document.classes.iter().flat_map(|class| &class.slices) {
+            for lease in slice.chain.iter().chain(&slice.previous) {
+                used_leases[usize::from(lease.0)] = true;
+            }
+        }
+        for (member, newest) in document.members.iter().zip(&self.newest) {
+            if let Some(newest) = newest.filter(|_| keep.contains(&member.incarnation)) {
+                used_leases[usize::from(newest.0)] = true;
+            }
+        }
+        let mut used_members =
+            document.members.iter().map(|m| keep.contains(&m.incarnation)).collect::<Vec<_>>();
+        for (lease, _) in document.leases.iter().zip(&used_leases).filter(|(_, used)| **used) {
+            used_members[usize::from(lease.holder.0)] = true;
+            lease.guards.iter().for_each(|guard| used_members[usize::from(guard.0)] = true);
+        }
+        if used_leases.iter().chain(&used_members).all(|used| *used) {
+            return self;
+        }
+        self.is_changed = true;
+        self.renumber(&used_members, &used_leases);
+        self
+    }
+
+    fn renumber(&mut self, used_members: &[bool], used_leases: &[bool]) {
+        let members = new_indexes(used_members);
+        let leases = new_indexes(used_leases);
+        let member =
+            |key: assignment::MemberKey| assignment::MemberKey(members[usize::from(key.0)]);
+        let lease = |key: assignment::LeaseKey| assignment::LeaseKey(leases[usize::from(key.0)]);
+        let document = &mut self.document;
+        keep_used(&mut document.members, used_members);
+        keep_used(&mut document.leases, used_leases);
+        for record in &mut document.leases {
+            record.holder = member(record.holder);
+            record.guards.iter_mut().for_each(|guard| *guard = member(*guard));
+        }
+        for slice in document.classes.iter_mut().flat_map(|class| &mut class.slices) {
+            slice.chain.iter_mut().for_each(|key| *key = lease(*key));
+            slice.previous.iter_mut().for_each(|key| *key = lease(*key));
+        }
+        keep_used(&mut self.roles, used_members);
+        keep_used(&mut self.newest, used_members);
+        keep_used(&mut self.dead, used_leases);
+        self.newest.iter_mut().for_each(|newest| {
+            *newest = newest.filter(|key| used_leases[usize::from(key.0)]).map(lease);
+        });
+    }
+}
+
+fn new_indexes(used: &[bool]) -> Vec<u16> {
+    let mut next = 0;
+    let number = |used: &bool| {
+        let index = next;
+        next += u16::from(*used);
+        index
+    };
+    used.iter().map(number).collect()
+}
+
+fn keep_used<T>(items: &mut Vec<T>, used: &[bool]) {
+    let mut used = used.iter();
+    items.retain(|_| used.next().copied().unwrap_or(false));
+}
--- a/crates/control/src/planner/input.rs
+++ b/crates/control/src/planner/input.rs
@@ -3,7 +3,7 @@
 use std::net;
 use std::sync::Arc;
 
-use cornelridge_model::{assignment, class, ident, key};
+use cornelridge_model::{assignment, class, ident, key, time};
 
 /// Registration of a node in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -49,6 +49,8 @@
 pub struct MemberReport {
     /// The member.
     pub incarnation: ident::IncarnationId,
+    /// Time since the report arrived.
+    pub age: time::Duration,
     /// Epoch by which the member works.
     pub epoch: ident::EpochNumber,
     /// Epoch up to which the member has ended its work for slices that it lost.
@@ -74,7 +76,7 @@
     pub change_id: u64,
     /// Registrations in the store.
     pub registrations: Vec<MemberRegistration>,
-    /// Reports that arrived since the last call, or the newest of each member.
+    /// The newest report of each member; one that was seen before is recognised by its age.
     pub reports: Vec<MemberReport>,
     /// Members that liveness holds lost.
     pub lost: Vec<ident::IncarnationId>,
--- a/crates/control/src/planner/mod.rs
+++ b/crates/control/src/planner/mod.rs
@@ -1,14 +1,64 @@
 //! Computes the next assignment document from the current one and from reports.
+//!
+//! Members that were lost or that leave are replaced at once. Settled moves, balance and hot keys
+//! are handled in rounds, whose interval follows from the size of the document, since every node
+//! of the region has to fetch each document.
 
+mod balance;
+mod chains;
+mod draft;
+mod hot;
 mod input;
+mod loads;
+mod observations;
+mod placement;
+mod roster;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use cornelridge_model::{assignment, class, ident, time};
 
 pub use input::{HotKey, MemberRegistration, MemberReport, PlannerInput, SliceLoad};
 
-use cornelridge_model::{assignment, time};
+use draft::Draft;
+use observations::Observations;
+use placement::Placement;
+
+/// Bytes of a slice in an encoded document.
+const SLICE_BYTES: u64 = 16;
+/// Bytes a second that documents of routine rounds may cost each node, of the 11 KB that the
+/// control plane may use.
+const DOCUMENT_BYTES_PER_SECOND: u64 = 4_000;
+/// Shortest interval between routine rounds.
+const SHORTEST_ROUND: time::Duration = time::Duration::from_secs(1);
+/// Longest interval between routine rounds; hot keys change within minutes.
+const LONGEST_ROUND: time::Duration = time::Duration::from_secs(60);
+/// Time from the first report after which loads are known well enough to move slices.
+const WARM_UP: time::Duration = time::Duration::from_secs(10);
+/// Shortest time between two documents, so that a burst of reports makes one document.
+const SHORTEST_INTERVAL: time::Duration = time::Duration::from_millis(200);
+
+/// State of one class between calls.
+#[derive(Debug, Default)]
+struct ClassState {
+    loads: loads::ClassLoads,
+    limits: balance::MoveLimits,
+    cool: hot::CoolSlices,
+    /// Members whose loads are known.
+    reported: BTreeSet<ident::IncarnationId>,
+    first_report: Option<time::Instant>,
+}
 
 /// Plans the assignment of one region.
 #[derive(Debug, Default)]
-pub struct Planner {}
+pub struct Planner {
+    observations: Observations,
+    classes: BTreeMap<Arc<str>, ClassState>,
+    last_document: Option<time::Instant>,
+    next_round: time::Instant,
+    moves: u64,
+}
 
 impl Planner {
     /// A planner that knows nothing yet.
@@ -16,12 +66,237 @@
         Planner::default()
     }
 
-    /// The next document, or `None` if the current one needs no change.
+    /// Slices that this planner has moved for balance.
+    pub fn moves(&self) -> u64 {
+        self.moves
+    }
+
+    /// The next document, or `None` if the current one needs no change now. Each call takes in the
+    /// reports, so it should be made every second and when a member or a lease is lost.
     pub fn plan(
         &mut self,
-        _now: time::Instant,
-        _input: &PlannerInput,
+        now: time::Instant,
+        input: &PlannerInput,
     ) -> Option<assignment::AssignmentDocument> {
-        None
+        self.observations.observe(now, input);
+        let current = input.current.as_deref();
+        if current.is_none() && input.registrations.is_empty() {
+            return None;
+        }
+        if let Some(current) = current {
+            self.observe_loads(now, current, input);
+        }
+        let is_early = |last| now.since(last) < SHORTEST_INTERVAL;
+        if self.last_document.is_some_and(is_early) {
+            return None;
+        }
+        let is_round = now >= self.next_round;
+        let draft = self.draft(now, input, is_round);
+        if is_round {
+            self.next_round = now + round_interval(&draft.document);
+        }
+        if current.is_some() && !draft.is_changed {
+            return None;
+        }
+        self.last_document = Some(now);
+        Some(draft.document)
+    }
+
+    /// The next document with everything that should change now.
+    fn draft(&mut self, now: time::Instant, input: &PlannerInput, is_round: bool) -> Draft {
+        let mut document = input.current.as_deref().cloned().unwrap_or_default();
+        document.epoch = ident::EpochNumber(document.epoch.0 + 1);
+        document.change_id = input.change_id;
+        let mut draft = Draft::new(document, &self.observations);
+        retire(&mut draft, input);
+        roster::update_members(now, &mut draft, input, &self.observations);
+        roster::update_leases(now, &mut draft, &self.observations);
+        let settled = chains::settle(&mut draft, &self.observations);
+        draft.is_changed |= is_round && settled > 0;
+        add_classes(&mut draft, &input.classes);
+        for index in 0..draft.document.classes.len() {
+            self.plan_class(now, &mut draft, index, &input.classes, is_round);
+        }
+        remove_classes(&mut draft, &input.classes);
+        let keep = self.kept(&draft, input);
+        let draft = draft.compact(&keep);
+        self.observations.prune(&draft.document, input);
+        draft
+    }
+
+    fn plan_class(
+        &mut self,
+        now: time::Instant,
+        draft: &mut Draft,
+        index: usize,
+        classes: &class::ClassDocument,
+        is_round: bool,
+    ) {
+        let name = Arc::clone(&draft.document.classes[index].class);
+        let Some(config) = classes.class(&name).filter(|class| class.is_sliced()) else { return };
+        let mut placement = Placement::new(draft, &self.observations, &name);
+        if placement.len() == 0 {
+            return;
+        }
+        for slice in &draft.document.classes[index].slices {
+            placement.count(&slice.chain);
+        }
+        let epoch = draft.document.epoch;
+        let state = self.classes.entry(name).or_default();
+        if chains::divide(draft, index, &mut placement) {
+            state.loads.shaped_in = epoch;
+        }
+        chains::repair(draft, index, &mut placement);
+        if !is_round {
+            return;
+        }
+        let targets = balance::BalanceTargets::of(config.prefer);
+        let slices = &mut draft.document.classes[index];
+        state.limits.budget.refill(now, slices.slices.len(), targets);
+        if !state.knows_loads(now, draft, &mut placement) {
+            return;
+        }
+        let slices = &mut draft.document.classes[index];
+        let (is_changed, moves) = state.round(now, slices, &mut placement, targets, epoch);
+        draft.is_changed |= is_changed;
+        self.moves += moves as u64;
+    }
+
+    fn observe_loads(
+        &mut self,
+        now: time::Instant,
+        current: &assignment::AssignmentDocument,
+        input: &PlannerInput,
+    ) {
+        let is_fresh = |report: &&MemberReport| self.observations.is_fresh(report.incarnation);
+        let reports = input.reports.iter().filter(is_fresh).collect::<Vec<_>>();
+        if reports.is_empty() {
+            return;
+        }
+        for class in &current.classes {
+            let state = self.classes.entry(Arc::clone(&class.class)).or_default();
+            let shaped_in = state.loads.shaped_in;
+            let current_reports = reports.iter().filter(|report| report.epoch >= shaped_in);
+            let reporting = current_reports.map(|report| report.incarnation);
+            let reporting = reporting.collect::<BTreeSet<_>>();
+            state.reported.extend(&reporting);
+            state.first_report.get_or_insert(now);
+            let holders = current.leases.iter().map(|lease| current.member(lease.holder));
+            let is_reporting = holders.map(|holder| reporting.contains(&holder.incarnation));
+            let is_reporting = is_reporting.collect::<Vec<_>>();
+            state.loads.observe(now, class, &reports, |slice| {
+                let owner = slice.chain.first();
+                owner.is_some_and(|owner| is_reporting[usize::from(owner.0)])
+            });
+            state.loads.prune(class);
+        }
+    }
+
+    /// Members whose newest lease stays in the document: those that are registered or report.
+    fn kept(&self, draft: &Draft, input: &PlannerInput) -> BTreeSet<ident::IncarnationId> {
+        let present = draft.member_keys().filter(|m| draft.role(*m) != draft::MemberRole::Lost);
+        let present = present.map(|member| draft.incarnation(member));
+        let registered = input.registrations.iter().map(|member| member.incarnation);
+        present.chain(registered).collect()
     }
 }
+
+impl ClassState {
+    /// Whether enough loads are known to balance by; a new planner would otherwise undo what an
+    /// earlier one did. Members that haven't reported yet neither give nor take slices.
+    fn knows_loads(
+        &mut self,
+        now: time::Instant,
+        draft: &Draft,
+        placement: &mut Placement,
+    ) -> bool {
+        let is_documented = |member: &ident::IncarnationId| {
+            draft.document.members.iter().any(|record| record.incarnation == *member)
+        };
+        if self.reported.len() > draft.document.members.len() {
+            self.reported.retain(is_documented);
+        }
+        let known = placement.limit_to(|member| self.reported.contains(&member));
+        let is_warm = self.first_report.is_some_and(|first| now.since(first) >= WARM_UP);
+        is_warm && known * 4 >= placement.len() * 3
+    }
+
+    /// One routine round of a class: hot keys, then balance.
+    fn round(
+        &mut self,
+        now: time::Instant,
+        slices: &mut assignment::ClassSlices,
+        placement: &mut Placement,
+        targets: balance::BalanceTargets,
+        epoch: ident::EpochNumber,
+    ) -> (bool, usize) {
+        let mean = balance::mean_load(slices, &self.loads, placement);
+        let cool = &mut self.cool;
+        let budget = &mut self.limits.budget;
+        let merged = hot::merge(now, slices, &mut self.loads, cool, mean, budget, epoch);
+        let is_cut = hot::cut(now, slices, &mut self.loads, mean);
+        if merged.is_merged || is_cut {
+            self.loads.shaped_in = epoch;
+        }
+        let limits = &mut self.limits;
+        let moves = balance::balance(now, slices, &self.loads, placement, targets, limits, epoch);
+        let is_changed = is_cut || merged.is_merged || merged.is_changed || moves > 0;
+        (is_changed, moves + merged.moves)
+    }
+}
+
+/// Takes over the leases that an operator declared dead.
+fn retire(draft: &mut Draft, input: &PlannerInput) {
+    for index in 0..draft.document.leases.len() {
+        let id = draft.document.lease_id(assignment::LeaseKey(index as u16));
+        let lease = &mut draft.document.leases[index];
+        if !lease.retired && input.retired.contains(&id) {
+            lease.retired = true;
+            draft.is_changed = true;
+        }
+    }
+}
+
+/// Adds an entry for each sliced class that a member serves.
+fn add_classes(draft: &mut Draft, classes: &class::ClassDocument) {
+    let served =
+        draft.member_keys().filter(|member| draft.role(*member) == draft::MemberRole::Serving);
+    let served = served.map(|member| &draft.document.member(member).class);
+    let served = served.cloned().collect::<BTreeSet<_>>();
+    let is_sliced = |name: &Arc<str>| classes.class(name).is_some_and(|class| class.is_sliced());
+    for name in served.into_iter().filter(is_sliced) {
+        let held = &mut draft.document.classes;
+        if let Err(at) = held.binary_search_by(|class| class.class.cmp(&name)) {
+            held.insert(at, assignment::ClassSlices { class: name, slices: Vec::new() });
+        }
+    }
+}
+
+/// Removes a class that operators deleted, once none of its owners can still be serving: if the
+/// class returned before, its first new owner could meet an old one.
+fn remove_classes(draft: &mut Draft, classes: &class::ClassDocument) {
+    let dead = &draft.dead;
+    let is_dead = |lease: &assignment::LeaseKey| dead[usize::from(lease.0)];
+    let before = draft.document.classes.len();
+    draft.document.classes.retain(|class| {
+        let is_sliced = classes.class(&class.class).is_some_and(class::ClassConfig::is_sliced);
+        let mut chains = class.slices.iter().flat_map(|s| s.chain.iter().chain(&s.previous));
+        !class.slices.is_empty() && (is_sliced || !chains.all(is_dead))
+    });
+    draft.is_changed |= draft.document.classes.len() != before;
+}
+
+/// Interval of routine rounds that keeps the cost of documents within its share.
+fn round_interval(document: &assignment::AssignmentDocument) -> time::Duration {
+    let slices = document.classes.iter().map(|class| class.slices.len() as u64).sum::<u64>();
+    let micros = slices * SLICE_BYTES * 1_000_000 / DOCUMENT_BYTES_PER_SECOND;
+    time::Duration(micros.clamp(SHORTEST_ROUND.0, LONGEST_ROUND.0))
+}
+
+/// Mixes two numbers into one that looks random; the same on every node.
+fn mix(a: u64, b: u64) -> u64 {
+    let mut x = a ^ b.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
--- /dev/null
+++ b/crates/control/src/planner/observations.rs
@@ -0,0 +1,170 @@
+//! What the planner remembers between calls about members and leases.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cornelridge_model::{assignment, ident, time};
+
+use super::input::{MemberReport, PlannerInput};
+
+/// A member is replaced only when liveness has held it lost for this long, unless its lease has
+/// expired: one failed round of probes moves nothing.
+const LOST_GRACE: time::Duration = time::Duration::from_secs(2);
+/// A member without an upstream keeps its slices for this long, unless it released its lease.
+const UPSTREAM_GRACE: time::Duration = time::Duration::from_secs(10);
+/// A guard is replaced when the holder has found it silent for this long.
+const GUARD_GRACE: time::Duration = time::Duration::from_secs(2);
+/// A member whose registration has disappeared counts as present while its reports are this new.
+const REPORT_SPAN: time::Duration = time::Duration::from_secs(30);
+/// A report shows that a member outlived the expiry of its lease only if it arrived this much
+/// later; an earlier one may have been on its way when the member was lost.
+const REVIVAL_DELAY: time::Duration = time::Duration::from_millis(1_000);
+
+/// Facts about members and leases, gathered from all inputs so far.
+#[derive(Debug, Default)]
+pub(crate) struct Observations {
+    confirmed: BTreeMap<ident::IncarnationId, ident::EpochNumber>,
+    reported_at: BTreeMap<ident::IncarnationId, time::Instant>,
+    draining: BTreeSet<ident::IncarnationId>,
+    without_upstream: BTreeMap<ident::IncarnationId, time::Instant>,
+    lost: BTreeMap<ident::IncarnationId, time::Instant>,
+    silent: BTreeMap<(ident::IncarnationId, ident::IncarnationId), time::Instant>,
+    expired: BTreeMap<ident::LeaseId, time::Instant>,
+    /// Members whose report is newer than in the call before.
+    fresh: BTreeSet<ident::IncarnationId>,
+}
+
+impl Observations {
+    pub(crate) fn observe(&mut self, now: time::Instant, input: &PlannerInput) {
+        self.fresh.clear();
+        input.reports.iter().for_each(|report| self.observe_report(now, report));
+        self.lost.retain(|member, _| input.lost.contains(member));
+        for member in &input.lost {
+            self.lost.entry(*member).or_insert(now);
+        }
+        for lease in input.expired.iter().chain(&input.retired) {
+            self.expired.entry(*lease).or_insert(now);
+        }
+    }
+
+    fn observe_report(&mut self, now: time::Instant, report: &MemberReport) {
+        let member = report.incarnation;
+        let arrived = time::Instant(now.0.saturating_sub(report.age.0));
+        let confirmed = self.confirmed.entry(member).or_default();
+        *confirmed = report.confirmed_epoch.max(*confirmed);
+        if self.reported_at.get(&member).is_some_and(|last| *last >= arrived) {
+            return;
+        }
+        self.reported_at.insert(member, arrived);
+        self.fresh.insert(member);
+        if report.draining {
+            self.draining.insert(member);
+        } else {
+            self.draining.remove(&member);
+        }
+        if report.has_upstream {
+            self.without_upstream.remove(&member);
+        } else {
+            self.without_upstream.entry(member).or_insert(arrived);
+        }
+        let is_silent = |guard: &ident::IncarnationId| report.silent_guards.contains(guard);
+        self.silent.retain(|(holder, guard), _| *holder != member || is_silent(guard));
+        for guard in &report.silent_guards {
+            self.silent.entry((member, *guard)).or_insert(arrived);
+        }
+    }
+
+    /// Drops what is known about members and leases that no document or input names any more.
+    pub(crate) fn prune(
+        &mut self,
+        document: &assignment::AssignmentDocument,
+        input: &PlannerInput,
+    ) {
+        let documented = document.members.iter().map(|member| member.incarnation);
+        let registered = input.registrations.iter().map(|member| member.incarnation);
+        let known = documented.chain(registered).collect::<BTreeSet<_>>();
+        self.confirmed.retain(|member, _| known.contains(member));
+        self.reported_at.retain(|member, _| known.contains(member));
+        self.draining.retain(|member| known.contains(member));
+        self.without_upstream.retain(|member, _| known.contains(member));
+        self.silent.retain(|(holder, _), _| known.contains(holder));
+        self.expired.retain(|lease, _| known.contains(&lease.incarnation));
+    }
+
+    /// Whether the member has ended its work for every slice that it lost up to `epoch`.
+    pub(crate) fn has_confirmed(
+        &self,
+        member: ident::IncarnationId,
+        epoch: ident::EpochNumber,
+    ) -> bool {
+        self.confirmed.get(&member).is_some_and(|confirmed| *confirmed >= epoch)
+    }
+
+    pub(crate) fn is_expired(&self, lease: ident::LeaseId) -> bool {
+        self.expired.contains_key(&lease)
+    }
+
+    /// Highest generation of the member among the expired leases.
+    pub(crate) fn highest_expired(&self, member: ident::IncarnationId) -> u32 {
+        let leases = self.expired.keys().filter(|lease| lease.incarnation == member);
+        leases.map(|lease| lease.generation).max().unwrap_or(0)
+    }
+
+    /// Whether the member has reported since this lease of it expired.
+    pub(crate) fn has_outlived(&self, lease: ident::LeaseId) -> bool {
+        let Some(expired) = self.expired.get(&lease) else { return true };
+        let reported = self.reported_at.get(&lease.incarnation);
+        reported.is_some_and(|at| *at > *expired + REVIVAL_DELAY)
+    }
+
+    pub(crate) fn is_draining(&self, member: ident::IncarnationId) -> bool {
+        self.draining.contains(&member)
+    }
+
+    pub(crate) fn is_fresh(&self, member: ident::IncarnationId) -> bool {
+        self.fresh.contains(&member)
+    }
+
+    pub(crate) fn has_reported(&self, now: time::Instant, member: ident::IncarnationId) -> bool {
+        self.reported_at.get(&member).is_some_and(|at| now.since(*at) <= REPORT_SPAN)
+    }
+
+    /// Whether liveness holds the member lost, however briefly; it then gets no new duty.
+    pub(crate) fn is_doubted(&self, member: ident::IncarnationId) -> bool {
+        self.lost.contains_key(&member)
+    }
+
+    pub(crate) fn is_lost(&self, now: time::Instant, member: ident::IncarnationId) -> bool {
+        self.lost.get(&member).is_some_and(|since| now.since(*since) >= LOST_GRACE)
+    }
+
+    /// Whether the upstream of the member has been missing for longer than a restart takes.
+    pub(crate) fn lacks_upstream(&self, now: time::Instant, member: ident::IncarnationId) -> bool {
+        let since = self.without_upstream.get(&member);
+        since.is_some_and(|since| now.since(*since) >= UPSTREAM_GRACE)
+    }
+
+    /// Whether the upstream of the member was missing in its newest report.
+    pub(crate) fn misses_upstream(&self, member: ident::IncarnationId) -> bool {
+        self.without_upstream.contains_key(&member)
+    }
+
+    /// Whether the holder has found this guard silent for long enough to replace it.
+    pub(crate) fn is_silent(
+        &self,
+        now: time::Instant,
+        holder: ident::IncarnationId,
+        guard: ident::IncarnationId,
+    ) -> bool {
+        let since = self.silent.get(&(holder, guard));
+        since.is_some_and(|since| now.since(*since) >= GUARD_GRACE)
+    }
+
+    /// Whether the holder has found this guard silent at all.
+    pub(crate) fn is_ever_silent(
+        &self,
+        holder: ident::IncarnationId,
+        guard: ident::IncarnationId,
+    ) -> bool {
+        self.silent.contains_key(&(holder, guard))
+    }
+}
--- /dev/null
+++ b/crates/control/src/planner/placement.rs
@@ -0,0 +1,227 @@
+//! The members that serve one class, and the choice of successors among them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use cornelridge_model::{assignment, ident};
+
+use super::draft::{Draft, MemberRole};
+use super::mix;
+use super::observations::Observations;
+
+/// First successors of the slices of one owner. Each successor probes the owners that it may have
+/// to replace, and a node can afford to probe only a few peers every 200 ms.
+const PARTNERS: usize = 4;
+
+/// Index of a member among those that serve a class.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct ServerKey(pub(crate) u16);
+
+impl ServerKey {
+    pub(crate) fn index(self) -> usize {
+        usize::from(self.0)
+    }
+}
+
+/// A member that serves the class.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) lease: assignment::LeaseKey,
+    /// Whether it may be given slices that it doesn't have.
+    pub(crate) is_open: bool,
+    /// Whether its load is known.
+    pub(crate) is_known: bool,
+    zone: u16,
+    identity: u64,
+    partners: Vec<ServerKey>,
+    /// Slices of this member by first successor, in the order of `partners`.
+    partner_counts: Vec<u32>,
+    /// Slices for which this member is a successor.
+    successions: u32,
+}
+
+/// The members that serve one class.
+#[derive(Debug)]
+pub(crate) struct Placement {
+    pub(crate) servers: Vec<Server>,
+    /// Server of each lease that serves, whatever its generation.
+    by_lease: Vec<Option<ServerKey>>,
+    zones: usize,
+}
+
+impl Placement {
+    pub(crate) fn new(draft: &Draft, observations: &Observations, class: &str) -> Placement {
+        let mut zones = BTreeMap::<Arc<str>, u16>::new();
+        let mut servers = Vec::new();
+        let mut by_member = vec![None; draft.document.members.len()];
+        for member in draft.member_keys() {
+            let record = draft.document.member(member);
+            let newest = draft.newest[usize::from(member.0)].filter(|lease| !draft.is_dead(*lease));
+            let Some(lease) = newest else { continue };
+            if draft.role(member) != MemberRole::Serving || *record.class != *class {
+                continue;
+            }
+            let next = zones.len() as u16;
+            let zone = *zones.entry(Arc::clone(&record.zone)).or_insert(next);
+            by_member[usize::from(member.0)] = Some(ServerKey(servers.len() as u16));
+            servers.push(Server {
+                lease,
+                is_open: !observations.is_doubted(record.incarnation)
+                    && !observations.misses_upstream(record.incarnation),
+                is_known: true,
+                zone,
+                identity: record.incarnation.0,
+                partners: Vec::new(),
+                partner_counts: Vec::new(),
+                successions: 0,
+            });
+        }
+        let holders = draft.document.leases.iter().map(|lease| lease.holder);
+        let by_lease = holders.map(|holder| by_member[usize::from(holder.0)]).collect();
+        let mut placement = Placement { servers, by_lease, zones: zones.len() };
+        placement.choose_partners();
+        placement
+    }
+
+    /// Partners are the other servers with the highest rendezvous hash, spread over the zones, so
+    /// that a change of the members changes few of them.
+    fn choose_partners(&mut self) {
+        let others = self.zones.saturating_sub(1);
+        let most_in_zone = PARTNERS.div_ceil(others.max(1));
+        let mut all = Vec::with_capacity(self.servers.len());
+        for index in 0..self.servers.len() {
+            let own = &self.servers[index];
+            let (identity, zone) = (own.identity, own.zone);
+            let ranks = self.servers.iter().enumerate().filter(|(_, server)| server.is_open);
+            let mut ranked = ranks
+                .filter(|(other, server)| *other != index && (others == 0 || server.zone != zone));
+            let mut ranked = ranked
+                .by_ref()
+                .map(|(other, server)| (mix(identity, server.identity), other, server.zone))
+                .collect::<Vec<_>>();
+            ranked.sort_unstable();
+            let mut used = vec![0; self.zones];
+            ranked.retain(|(_, _, zone)| {
+                used[usize::from(*zone)] += 1;
+                used[usize::from(*zone)] <= most_in_zone
+            });
+            let partners =
+                ranked.iter().take(PARTNERS).map(|(_, other, _)| ServerKey(*other as u16));
+            all.push(partners.collect::<Vec<_>>());
+        }
+        for (server, partners) in self.servers.iter_mut().zip(all) {
+            server.partner_counts = vec![0; partners.len()];
+            server.partners = partners;
+        }
+    }
+
+    /// Closes the servers that don't pass the test, and returns how many pass it.
+    pub(crate) fn limit_to(&mut self, test: impl Fn(ident::IncarnationId) -> bool) -> usize {
+        let mut passed = 0;
+        for server in &mut self.servers {
+            let passes = test(ident::IncarnationId(server.identity));
+            server.is_known = passes;
+            server.is_open &= passes;
+            passed += usize::from(passes);
+        }
+        passed
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// The server that holds a lease, of any generation.
+    pub(crate) fn server(&self, lease: assignment::LeaseKey) -> Option<ServerKey> {
+        self.by_lease.get(usize::from(lease.0)).copied().flatten()
+    }
+
+    pub(crate) fn lease(&self, server: ServerKey) -> assignment::LeaseKey {
+        self.servers[server.index()].lease
+    }
+
+    fn zone(&self, server: ServerKey) -> u16 {
+        self.servers[server.index()].zone
+    }
+
+    /// Whether `other` is a preferred first successor of `owner`, in another zone if there is one.
+    pub(crate) fn is_partner(&self, owner: ServerKey, other: ServerKey) -> bool {
+        self.servers[owner.index()].partners.contains(&other)
+    }
+
+    /// Whether the server isn't in the chain and its zone isn't either.
+    pub(crate) fn adds_zone(&self, chain: &[ServerKey], server: ServerKey) -> bool {
+        chain.iter().all(|other| *other != server && self.zone(*other) != self.zone(server))
+    }
+
+    /// Counts a chain as used, so that later choices even out.
+    pub(crate) fn count(&mut self, chain: &[assignment::LeaseKey]) {
+        let servers = chain.iter().filter_map(|lease| self.server(*lease));
+        let servers = servers.collect::<Vec<_>>();
+        let Some((owner, successors)) = servers.split_first() else { return };
+        for successor in successors {
+            self.servers[successor.index()].successions += 1;
+        }
+        let Some(first) = successors.first() else { return };
+        let owner = &mut self.servers[owner.index()];
+        if let Some(at) = owner.partners.iter().position(|partner| partner == first) {
+            owner.partner_counts[at] += 1;
+        }
+    }
+
+    /// Members that a chain of this class can have.
+    pub(crate) fn chain_length(&self) -> usize {
+        self.servers.len().min(assignment::MAX_CHAIN)
+    }
+
+    /// Whether another zone could take the place of a member whose zone is in the chain already.
+    pub(crate) fn can_spread(&self, chain: &[ServerKey]) -> bool {
+        let mut zones = chain.iter().map(|server| self.zone(*server)).collect::<Vec<_>>();
+        zones.sort_unstable();
+        zones.dedup();
+        zones.len() < chain.len() && zones.len() < self.zones
+    }
+
+    /// The part of a chain whose zones all differ, the earliest member of each zone.
+    pub(crate) fn spread(&self, chain: &[ServerKey]) -> Vec<ServerKey> {
+        let mut kept = Vec::<ServerKey>::with_capacity(chain.len());
+        for server in chain {
+            if kept.iter().all(|other| self.zone(*other) != self.zone(*server)) {
+                kept.push(*server);
+            }
+        }
+        kept
+    }
+
+    /// Adds successors until the chain is complete: in new zones as far as possible, first among
+    /// the partners of the owner, those with the fewest duties first.
+    pub(crate) fn fill(&self, chain: &mut Vec<ServerKey>, seed: u64) {
+        while chain.len() < self.chain_length() {
+            let Some(next) = self.next_successor(chain, seed) else { return };
+            chain.push(next);
+        }
+    }
+
+    fn next_successor(&self, chain: &[ServerKey], seed: u64) -> Option<ServerKey> {
+        let owner = &self.servers[chain.first()?.index()];
+        let is_new_zone =
+            |server: &ServerKey| chain.iter().all(|other| self.zone(*other) != self.zone(*server));
+        let is_candidate =
+            |server: &ServerKey| !chain.contains(server) && self.servers[server.index()].is_open;
+        let is_first = chain.len() == 1;
+        let partners = owner.partners.iter().enumerate();
+        let partners = partners.filter(|(_, server)| is_candidate(server) && is_new_zone(server));
+        let partner = partners.min_by_key(|(at, server)| {
+            let pairs = if is_first { owner.partner_counts[*at] } else { 0 };
+            (pairs, self.servers[server.index()].successions, mix(seed, u64::from(server.0)))
+        });
+        if let Some((_, partner)) = partner {
+            return Some(*partner);
+        }
+        let all = (0..self.servers.len() as u16).map(ServerKey).filter(is_candidate);
+        all.min_by_key(|server| {
+            let successions = self.servers[server.index()].successions;
+            (!is_new_zone(server), successions, mix(seed, u64::from(server.0)))
+        })
+    }
+}
