--- a/crates/control/src/planner/mod.rs
+++ b/crates/control/src/planner/mod.rs
@@ -267,7 +267,14 @@
     for name in served.into_iter().filter(is_sliced) {
         let held = &mut draft.document.classes;
         if let Err(at) = held.binary_search_by(|class| class.class.cmp(&name)) {
-            held.insert(at, assignment::ClassSlices { class: name, slices: Vec::new() });
+            held.insert(
+                at,
+                assignment::ClassSlices {
+                    class: name,
+                    created: draft.document.epoch,
+                    slices: Vec::new(),
+                },
+            );
         }
     }
 }
--- a/crates/node/src/planning.rs
+++ b/crates/node/src/planning.rs
@@ -183,7 +183,7 @@
 struct PlannerRole {
     planner: planner::Planner,
     cache: RegistrationCache,
-    reports: HashMap<ident::IncarnationId, planner::MemberReport>,
+    reports: HashMap<ident::IncarnationId, (time::Instant, planner::MemberReport)>,
     expired: Vec<ident::LeaseId>,
     held_until: Option<time::Instant>,
 }
@@ -248,7 +248,8 @@
         self.expired.clear();
         for task in tasks {
             if let Some((report, expired)) = task.await {
-                self.reports.insert(report.incarnation, report);
+                let received = context.clock.now();
+                self.reports.insert(report.incarnation, (received, report));
                 self.expired.extend(expired);
             }
         }
@@ -257,6 +258,15 @@
         self.reports.retain(|member, _| members.contains(member));
     }
 
+    fn aged_reports(&self, now: time::Instant) -> Vec<planner::MemberReport> {
+        let reports = self.reports.values();
+        let aged = reports.map(|(received, report)| planner::MemberReport {
+            age: now.since(*received),
+            ..report.clone()
+        });
+        aged.collect()
+    }
+
     async fn plan(&mut self, context: &Arc<context::NodeContext>) -> Result<(), store::StoreError> {
         let key = configuration::DocumentKind::Assignment.store_key(&context.identity.region);
         let current = context.assignment();
@@ -264,7 +274,7 @@
             current: (current.epoch.0 > 0).then(|| Arc::clone(&current)),
             change_id: context.draw(),
             registrations: self.cache.members(context),
-            reports: self.reports.values().cloned().collect(),
+            reports: self.aged_reports(context.clock.now()),
             lost: context.liveness().lost(),
             expired: self.expired.clone(),
             retired: Vec::new(),
@@ -360,6 +370,7 @@
     let expired = expired.filter_map(|lease| peers::lease_from_wire(Some(lease))).collect();
     let report = planner::MemberReport {
         incarnation: member,
+        age: time::Duration::ZERO,
         epoch: ident::EpochNumber(answer.versions.map_or(0, |versions| versions.epoch)),
         confirmed_epoch: ident::EpochNumber(answer.confirmed_epoch),
         has_upstream: answer.has_upstream,
--- a/crates/standin/examples/bench/path.rs
+++ b/crates/standin/examples/bench/path.rs
@@ -16,7 +16,7 @@
 const CONNECTIONS: u32 = 12;
 
 /// Measures full load in a closed loop, then half of that rate in an open loop.
-pub fn run(_args: &[String]) -> Result<(), String> {
+pub(crate) fn run(_args: &[String]) -> Result<(), String> {
     smol::block_on(measure())
 }
 
--- a/crates/standin/examples/bench/trial.rs
+++ b/crates/standin/examples/bench/trial.rs
@@ -14,7 +14,7 @@
 const TICKS_PER_SEC: f64 = 100.0;
 
 /// Starts a mesh and waits until it serves.
-pub async fn start(
+pub(crate) async fn start(
     deployment: deployment::Deployment,
     tune: mesh::UpstreamTuning,
 ) -> Result<mesh::Mesh, String> {
@@ -24,7 +24,7 @@
 }
 
 /// Sends load and waits for its report.
-pub async fn load(
+pub(crate) async fn load(
     mesh: &mesh::Mesh,
     settings: caller::LoadSettings,
 ) -> Result<caller::LoadReport, String> {
@@ -34,7 +34,7 @@
 }
 
 /// CPU time of the threads that run nodes; stand-ins and callers run on threads of their own.
-pub fn node_cpu() -> time::Duration {
+pub(crate) fn node_cpu() -> time::Duration {
     let Ok(tasks) = fs::read_dir("/proc/self/task") else { return time::Duration::ZERO };
     let stats =
         tasks.flatten().filter_map(|task| fs::read_to_string(task.path().join("stat")).ok());
