--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -16,6 +16,11 @@
 
 /// Time in which the first frame of a stream must arrive.
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// Streams that a peer may open on a new connection. QUIC reserves about 70 bytes for each, open or
+/// not, on both ends, so that the full number would cost more than all the rest of a connection.
+pub(crate) const INITIAL_STREAMS: u32 = 32;
+/// Streams that a peer may have open; reached by doubling while more than half are in use.
+pub(crate) const MAX_STREAMS: u32 = 1_024;
 /// Code of a connection whose peer stopped answering.
 const CODE_DEAD: quinn::VarInt = quinn::VarInt::from_u32(3);
 /// Code of a connection that a newer one from the same address replaces, or that was forgotten.
@@ -108,7 +113,13 @@
     }
 
     async fn serve_streams(self: &Arc<PeerConnection>, events: &channel::Sender<PeerEvent>) {
+        let mut allowed = INITIAL_STREAMS;
         while let Ok((send, receive)) = self.connection.accept_bi().await {
+            // Each open stream has two halves.
+            if allowed < MAX_STREAMS && self.halves.load(Ordering::Relaxed) > allowed as usize {
+                allowed *= 2;
+                self.connection.set_max_concurrent_bi_streams(allowed.into());
+            }
             let writer = stream::FrameWriter::new(send, StreamGuard::new(self));
             let reader = stream::FrameReader::new(receive, StreamGuard::new(self));
             let mut head = Box::pin(receive_head(writer, reader));
--- a/crates/wire/src/transport.rs
+++ b/crates/wire/src/transport.rs
@@ -13,7 +13,7 @@
 use thiserror::Error;
 
 use crate::codec;
-use crate::connection::PeerConnection;
+use crate::connection::{INITIAL_STREAMS, MAX_STREAMS, PeerConnection};
 use crate::generated;
 use crate::identity;
 use crate::peers::{Direction, PeerTable, Route};
@@ -23,8 +23,6 @@
 
 /// Received data that a stream may hold unread; bounds the memory of one request.
 const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
-/// Streams that a peer may have open.
-const MAX_STREAMS: u32 = 1_024;
 /// Credit for all streams of a connection. It covers a full window of every stream, because slow
 /// readers would otherwise hold all the credit and block the other streams.
 const CONNECTION_WINDOW_BYTES: u32 = MAX_STREAMS * STREAM_WINDOW_BYTES;
@@ -361,7 +359,7 @@
 fn transport_config() -> quinn::TransportConfig {
     let mut config = quinn::TransportConfig::default();
     config
-        .max_concurrent_bidi_streams(MAX_STREAMS.into())
+        .max_concurrent_bidi_streams(INITIAL_STREAMS.into())
         .max_concurrent_uni_streams(0_u32.into())
         .stream_receive_window(STREAM_WINDOW_BYTES.into())
         .receive_window(CONNECTION_WINDOW_BYTES.into())
