Don't retry on the only worker of a key after a refusal for load

Cause: a request that its overloaded worker had refused was sent to the same worker again, used up the budget and, if accepted then, was answered late. Change: FailedAttempt tells refusals for load apart; without another worker the caller gets the refusal.

--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -70,6 +70,8 @@
     pub expected_latency: time::Duration,
     /// Whether a worker that hasn't been tried yet can serve the request.
     pub other_worker: bool,
+    /// Whether the worker or its queue refused the request for load.
+    pub refused_for_load: bool,
     /// Whether the request was refused for a reason that holds on every worker.
     pub refused_everywhere: bool,
     /// Whether any byte of a response was passed on to the caller.
@@ -97,6 +99,8 @@
     ResponseStarted,
     /// Every worker would refuse the request.
     RefusedEverywhere,
+    /// The only worker that can serve the request is overloaded.
+    Overloaded,
     /// The attempts are used up.
     AttemptsUsed,
     /// No attempt would end before the deadline.
@@ -127,6 +131,9 @@
         if attempt.refused_everywhere {
             return RetryDecision::Answer(AnswerReason::RefusedEverywhere);
         }
+        if attempt.refused_for_load && !attempt.other_worker {
+            return RetryDecision::Answer(AnswerReason::Overloaded);
+        }
         if attempt.attempts >= MAX_ATTEMPTS {
             return RetryDecision::Answer(AnswerReason::AttemptsUsed);
         }
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -15,6 +15,7 @@
         deadline: now + time::Duration::from_secs(1),
         expected_latency: time::Duration::from_millis(10),
         other_worker: true,
+        refused_for_load: false,
         refused_everywhere: false,
         response_started: false,
     }
@@ -70,7 +71,8 @@
     assert_eq!(decision, retry::RetryDecision::Retry { delay: time::Duration::ZERO });
 }
 
-/// Guards against retries that can't help: after the deadline, mid-response, or refused anywhere.
+/// Guards against retries that can't help: after the deadline, mid-response, refused
+/// anywhere, or at an overloaded worker that is the only one.
 #[test]
 fn hopeless_retries_are_answered_without_a_token() {
     let mut budget = retry::RetryBudget::new(time::Instant(0));
@@ -88,6 +90,10 @@
             retry::FailedAttempt { refused_everywhere: true, ..base },
             retry::AnswerReason::RefusedEverywhere,
         ),
+        (
+            retry::FailedAttempt { refused_for_load: true, other_worker: false, ..base },
+            retry::AnswerReason::Overloaded,
+        ),
         (
             retry::FailedAttempt { attempts: retry::MAX_ATTEMPTS, ..base },
             retry::AnswerReason::AttemptsUsed,
--- a/crates/standin/src/load_model/driver.rs
+++ b/crates/standin/src/load_model/driver.rs
@@ -584,6 +584,10 @@
                     deadline: record.deadline,
                     expected_latency: config.service,
                     other_worker: !config.sliced && untried,
+                    refused_for_load: matches!(
+                        end,
+                        AttemptEnd::Shed | AttemptEnd::Refused { everywhere: false }
+                    ),
                     refused_everywhere: end == AttemptEnd::Refused { everywhere: true },
                     response_started: false,
                 };
