Leave four mean deviations for the service time in a standing queue

Cause: with two deviations one response in twenty to thirty came after its target although it left the queue in time. Change: the useful wait is the target less the mean service time and four mean deviations, the margin that TCP uses for its retransmission timer.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -15,6 +15,8 @@
 const STANDING: time::Duration = time::Duration::from_millis(100);
 /// A standing queue may always use one part in this many of the target.
 const MIN_WAIT_SHARE: f64 = 4.0;
+/// Mean deviations above the mean service time that a response usually stays below.
+const DEVIATIONS: f64 = 4.0;
 /// Share of the mean service time below which the rest of the deadline is hopeless.
 const HOPELESS_SHARE: f64 = 0.5;
 /// One slot in this many is kept free of bulk work.
@@ -561,7 +563,7 @@
     fn useful_wait(&self, request: &AdmissionRequest) -> time::Duration {
         let service = self.services.of(request.class, request.target);
         let target_us = request.target.0 as f64;
-        let usual_us = service.mean_us + 2.0 * service.deviation_us;
+        let usual_us = service.mean_us + DEVIATIONS * service.deviation_us;
         time::Duration((target_us - usual_us).max(target_us / MIN_WAIT_SHARE) as u64)
     }
 }
