Run queued suspects one after another and on one worker only

Cause: the upstream was emptied for each suspect anew and other work was held back for 250 ms although a download couldn't end in that time. Change: suspects have a lane of their own, follow each other for up to 250 ms and are refused at once beside bulk work. quarantine::trial_worker names the same worker for a suspect at every node, WorkerSelector::assign counts it, and the decision is repeated when a queued suspect is dispatched.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -7,6 +7,7 @@
 use crate::backlog;
 use crate::limit;
 use crate::service;
+use crate::suspects;
 
 /// Most queued requests.
 pub const MAX_QUEUED: usize = 256;
@@ -21,10 +22,6 @@
 const HOPELESS_SHARE: f64 = 0.5;
 /// One slot in this many is kept free of bulk work.
 const BULK_RESERVE: usize = 4;
-/// How long the other work is held back so that a suspect can run alone.
-const ALONE_DRAIN: time::Duration = time::Duration::from_millis(250);
-/// Pause after a suspect couldn't run alone, so that suspects can't keep the upstream idle.
-const ALONE_PAUSE: time::Duration = time::Duration::from_secs(2);
 /// Without an announcement, dispatch resumes this long after a crash.
 const CRASH_PAUSE: time::Duration = time::Duration::from_secs(1);
 /// An upstream with running requests that ends none for this long counts as stalled.
@@ -147,13 +144,6 @@
     dispatched: time::Instant,
 }
 
-/// A suspect for which the upstream is being emptied.
-#[derive(Clone, Copy, Debug)]
-struct AloneDrain {
-    request: AdmissionRequest,
-    until: time::Instant,
-}
-
 /// Orders and bounds the work of one upstream.
 #[derive(Debug)]
 pub struct AdmissionQueue {
@@ -161,8 +151,7 @@
     running: HashMap<RequestId, RunningRequest>,
     running_bulk: usize,
     running_alone: bool,
-    drain: Option<AloneDrain>,
-    no_drain_before: time::Instant,
+    suspects: suspects::SuspectLane,
     paused_until: time::Instant,
     started: time::Instant,
     backlog: backlog::Backlog,
@@ -185,8 +174,7 @@
             running: HashMap::new(),
             running_bulk: 0,
             running_alone: false,
-            drain: None,
-            no_drain_before: now,
+            suspects: suspects::SuspectLane::new(now),
             paused_until: now,
             started: now,
             backlog: backlog::Backlog::new(),
@@ -211,8 +199,11 @@
             let reason = RefusalReason::WaitTooLong;
             return AdmissionDecision::Refused(AdmissionRefusal { reason, expected_wait });
         }
-        if self.can_drain_for(now, &request) {
-            self.drain = Some(AloneDrain { request, until: now + ALONE_DRAIN });
+        if request.alone {
+            self.suspects.push(request);
+            if !self.backlog.has_eligible(request.yield_rank, true) {
+                self.suspects.hold(now);
+            }
             return AdmissionDecision::Queued { evicted: None };
         }
         let mut evicted = None;
@@ -286,10 +277,7 @@
 
     /// Forgets a request whose caller has gone or whose deadline has passed.
     pub fn cancel(&mut self, now: time::Instant, id: RequestId) -> Vec<AdmissionAction> {
-        if self.drain.is_some_and(|drain| drain.request.id == id) {
-            self.drain = None;
-        }
-        if self.backlog.remove(id).is_none() {
+        if self.suspects.remove(id).or_else(|| self.backlog.remove(id)).is_none() {
             self.end(now, id);
         }
         self.pump(now)
@@ -297,9 +285,7 @@
 
     /// Lets a queued suspect that was cleared run beside others.
     pub fn clear_alone(&mut self, now: time::Instant, id: RequestId) -> Vec<AdmissionAction> {
-        let drained = self.drain.take_if(|drain| drain.request.id == id);
-        let waiting = drained.map(|drain| drain.request).or_else(|| self.backlog.remove(id));
-        if let Some(request) = waiting {
+        if let Some(request) = self.suspects.remove(id) {
             self.backlog.push(now, AdmissionRequest { alone: false, ..request });
         }
         self.pump(now)
@@ -328,14 +314,15 @@
 
     /// Refuses everything that is queued because the upstream is gone or leaving.
     pub fn upstream_lost(&mut self, now: time::Instant) -> Vec<AdmissionAction> {
-        let drained = self.drain.take().map(|drain| drain.request.id);
+        let suspects = self.suspects.take(|_| true);
         let queued = self.backlog.select(|_| true);
         self.backlog = backlog::Backlog::new();
         self.busy_since = None;
         let expected_wait = time::Duration::ZERO;
         let refusal = AdmissionRefusal { reason: RefusalReason::UpstreamLost, expected_wait };
         self.paused_until = now + CRASH_PAUSE;
-        drained.into_iter().chain(queued).map(|id| AdmissionAction::Refuse(id, refusal)).collect()
+        let suspects = suspects.into_iter().map(|request| request.id);
+        suspects.chain(queued).map(|id| AdmissionAction::Refuse(id, refusal)).collect()
     }
 
     /// Number of running requests.
@@ -345,7 +332,7 @@
 
     /// Number of queued requests.
     pub fn queued(&self) -> usize {
-        self.backlog.len() + usize::from(self.drain.is_some())
+        self.backlog.len() + self.suspects.len()
     }
 
     /// Concurrency limit in force.
@@ -381,12 +368,12 @@
         request: &AdmissionRequest,
     ) -> Option<AdmissionRefusal> {
         let id = request.id;
-        let drained = self.drain.is_some_and(|drain| drain.request.id == id);
-        let reason = if self.running.contains_key(&id) || self.backlog.contains(id) || drained {
+        let queued = self.backlog.contains(id) || self.suspects.contains(id);
+        let reason = if queued || self.running.contains_key(&id) {
             RefusalReason::DuplicateId
         } else if request.deadline <= now {
             RefusalReason::DeadlinePassed
-        } else if request.alone && now < self.no_drain_before && !self.running.is_empty() {
+        } else if request.alone && self.can_not_empty(now) {
             RefusalReason::AloneUnavailable
         } else {
             return None;
@@ -400,17 +387,15 @@
         }
         let allow_bulk = self.has_bulk_slot(now);
         self.has_slot(now)
-            && self.drain.is_none()
+            && !self.suspects.is_draining()
             && (allow_bulk || !request.bulk)
             && !self.backlog.has_eligible(request.yield_rank, allow_bulk)
     }
 
-    /// Whether a suspect is the next to run, once the upstream is empty.
-    fn can_drain_for(&self, now: time::Instant, request: &AdmissionRequest) -> bool {
-        request.alone
-            && self.drain.is_none()
-            && self.has_slot(now)
-            && !self.backlog.has_eligible(request.yield_rank, true)
+    /// Whether the upstream won't become empty for a suspect that comes now.
+    fn can_not_empty(&self, now: time::Instant) -> bool {
+        let blocked = self.running_bulk > 0 || !self.suspects.may_drain(now);
+        self.suspects.is_full() || (blocked && !self.running.is_empty())
     }
 
     fn has_slot(&self, now: time::Instant) -> bool {
@@ -459,7 +444,7 @@
     /// Gives free slots to queued requests.
     fn pump(&mut self, now: time::Instant) -> Vec<AdmissionAction> {
         let mut actions = Vec::new();
-        while self.continue_drain(now, &mut actions) && self.has_slot(now) {
+        while self.serve_suspects(now, &mut actions) && self.has_slot(now) {
             let Some(waiting) = self.backlog.pop(self.has_bulk_slot(now)) else { break };
             let request = waiting.request;
             let waited = now.since(waiting.queued);
@@ -467,8 +452,6 @@
                 || (self.is_standing(now) && waited > self.useful_wait(&request))
             {
                 actions.push(self.refuse_late(now, &request));
-            } else if request.alone && !self.running.is_empty() {
-                self.start_drain(now, request, &mut actions);
             } else {
                 self.start(now, request);
                 actions.push(AdmissionAction::Dispatch(request.id));
@@ -480,36 +463,36 @@
         actions
     }
 
-    /// Returns `true` if no suspect holds the upstream back.
-    fn continue_drain(&mut self, now: time::Instant, actions: &mut Vec<AdmissionAction>) -> bool {
-        let Some(drain) = self.drain else { return true };
-        if now >= drain.until || is_hopeless(now, &drain.request, &self.services) {
-            self.drain = None;
-            self.no_drain_before = now + ALONE_PAUSE;
-            self.forgive_wait(now);
-            actions.push(refuse_alone(&drain.request));
-            return true;
-        }
-        if !self.running.is_empty() || now < self.paused_until {
+    /// Returns `true` if no suspect holds other work back.
+    fn serve_suspects(&mut self, now: time::Instant, actions: &mut Vec<AdmissionAction>) -> bool {
+        if self.running_alone {
             return false;
         }
-        self.drain = None;
-        self.start(now, drain.request);
-        actions.push(AdmissionAction::Dispatch(drain.request.id));
-        false
+        let late = self.suspects.take(|request| is_hopeless(now, request, &self.services));
+        actions.extend(late.iter().map(|request| self.refuse_late(now, request)));
+        while now >= self.paused_until && !self.goes_before_suspects() {
+            match self.suspects.step(now, self.running.len(), self.running_bulk) {
+                suspects::SuspectStep::Idle => return true,
+                suspects::SuspectStep::Hold => return false,
+                suspects::SuspectStep::Start(request) => {
+                    self.start(now, request);
+                    actions.push(AdmissionAction::Dispatch(request.id));
+                    return false;
+                }
+                suspects::SuspectStep::GiveUp(request) => {
+                    self.forgive_wait(now);
+                    actions.push(refuse_alone(&request));
+                }
+            }
+        }
+        true
     }
 
-    fn start_drain(
-        &mut self,
-        now: time::Instant,
-        request: AdmissionRequest,
-        actions: &mut Vec<AdmissionAction>,
-    ) {
-        if now < self.no_drain_before {
-            actions.push(refuse_alone(&request));
-            return;
-        }
-        self.drain = Some(AloneDrain { request, until: now + ALONE_DRAIN });
+    /// Whether queued work has a lower rank than the next suspect, which isn't prepared for yet.
+    fn goes_before_suspects(&self) -> bool {
+        let lower = self.suspects.next_rank().and_then(|rank| rank.checked_sub(1));
+        let waiting = lower.is_some_and(|rank| self.backlog.has_eligible(rank, false));
+        waiting && !self.suspects.is_draining()
     }
 
     fn refuse_late(&self, now: time::Instant, request: &AdmissionRequest) -> AdmissionAction {
@@ -580,6 +563,6 @@
 
 fn refuse_alone(request: &AdmissionRequest) -> AdmissionAction {
     let reason = RefusalReason::AloneUnavailable;
-    let refusal = AdmissionRefusal { reason, expected_wait: ALONE_PAUSE };
+    let refusal = AdmissionRefusal { reason, expected_wait: suspects::PAUSE };
     AdmissionAction::Refuse(request.id, refusal)
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,3 +32,4 @@
 pub mod retry;
 pub mod selection;
 mod service;
+mod suspects;
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -63,6 +63,24 @@
     },
 }
 
+/// The worker that runs a suspect of a class that any worker may serve.
+///
+/// Every node chooses the same one of the same workers. Copies of a suspect that ran alone on
+/// several workers at once would crash all of them.
+pub fn trial_worker(
+    fingerprint: RequestFingerprint,
+    workers: impl IntoIterator<Item = ident::IncarnationId>,
+) -> Option<ident::IncarnationId> {
+    workers.into_iter().max_by_key(|worker| (mix(fingerprint.0 ^ mix(worker.0)), *worker))
+}
+
+/// Finalizer of the SplitMix64 generator: spreads the bits of `value`.
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
 #[derive(Clone, Copy, Debug)]
 enum SuspectState {
     Suspect { crash: CrashId, since: time::Instant },
@@ -136,7 +154,8 @@
         }
     }
 
-    /// Decides on a request before it is dispatched.
+    /// Decides on a request when it arrives and, if it waited to run alone, again at dispatch:
+    /// a copy of it may have crashed another upstream meanwhile.
     pub fn decide(&self, now: time::Instant, fingerprint: RequestFingerprint) -> SuspectDecision {
         match self.entries.get(&fingerprint) {
             Some(state) if state.expiry() <= now => SuspectDecision::Pass,
--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -254,16 +254,22 @@
                 Some(second) => self.better(now, first, second),
             },
         };
-        let record = &mut self.workers[place];
-        let trial = record.health.availability(now) != ejection::WorkerAvailability::Serving;
-        if trial {
-            record.health.start_trial();
-        }
-        if record.in_flight == 0 {
-            record.progress = now;
-        }
-        record.in_flight += 1;
-        Some(WorkerChoice { worker: record.id, trial })
+        Some(self.start(now, place))
+    }
+
+    /// Counts a request for a worker that was chosen otherwise, such as a suspect's.
+    pub fn assign(
+        &mut self,
+        now: time::Instant,
+        worker: ident::IncarnationId,
+    ) -> Option<WorkerChoice> {
+        let place = *self.places.get(&worker)?;
+        Some(self.start(now, place))
+    }
+
+    /// The workers, in no particular order.
+    pub fn workers(&self) -> impl Iterator<Item = ident::IncarnationId> + '_ {
+        self.workers.iter().map(|record| record.id)
     }
 
     /// Records a sign of life before the end of a request, such as the head of a response.
@@ -340,6 +346,19 @@
         self.workers.is_empty()
     }
 
+    fn start(&mut self, now: time::Instant, place: usize) -> WorkerChoice {
+        let record = &mut self.workers[place];
+        let trial = record.health.availability(now) != ejection::WorkerAvailability::Serving;
+        if trial {
+            record.health.start_trial();
+        }
+        if record.in_flight == 0 {
+            record.progress = now;
+        }
+        record.in_flight += 1;
+        WorkerChoice { worker: record.id, trial }
+    }
+
     fn record(&mut self, worker: ident::IncarnationId) -> Option<&mut WorkerRecord> {
         let place = *self.places.get(&worker)?;
         self.workers.get_mut(place)
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -386,6 +386,43 @@
     assert!(matches!(again, admission::AdmissionDecision::Refused(_)));
 }
 
+/// Guards against emptying the upstream again for each of several suspects, and against suspects
+/// that hold other work back for long.
+#[test]
+fn suspects_follow_each_other_for_a_bounded_time() {
+    let mut queue = warm(4);
+    queue.offer(millis(0), request(1, 0, millis(0)));
+    for id in 10..15 {
+        let suspect = admission::AdmissionRequest { alone: true, ..request(id, 0, millis(id)) };
+        assert!(is_queued(queue.offer(millis(0), suspect)));
+    }
+    assert!(is_queued(queue.offer(millis(1), request(2, 0, millis(1)))));
+    let mut running = 1;
+    for (at, next) in [(5, 10), (105, 11), (205, 12)] {
+        let actions = queue.finish(millis(at), admission::RequestId(running), answered(100));
+        assert_eq!(dispatched(&actions), [next], "at {at} ms");
+        running = next;
+    }
+    let actions = queue.finish(millis(305), admission::RequestId(12), answered(100));
+    assert_eq!(dispatched(&actions), [2], "250 ms after the first suspect other work continues");
+    assert_eq!(actions.len(), 3, "the other two suspects are refused: {actions:?}");
+}
+
+/// Guards against holding work back for a suspect while a download runs that won't end soon.
+#[test]
+fn suspect_is_refused_beside_bulk_work() {
+    let mut queue = warm(4);
+    let bulk = admission::AdmissionRequest { bulk: true, ..request(1, 1, millis(0)) };
+    queue.offer(millis(0), bulk);
+    let suspect = admission::AdmissionRequest { alone: true, ..request(2, 0, millis(0)) };
+    let admission::AdmissionDecision::Refused(refusal) = queue.offer(millis(0), suspect) else {
+        panic!("the download doesn't end within the time for which work is held back");
+    };
+    assert_eq!(refusal.reason, admission::RefusalReason::AloneUnavailable);
+    let next = queue.offer(millis(1), request(3, 0, millis(1)));
+    assert_eq!(next, admission::AdmissionDecision::Dispatch);
+}
+
 /// Guards against feeding a frozen upstream, and against not noticing that it continues.
 #[test]
 fn stalled_upstream_is_given_little_until_it_continues() {
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -89,6 +89,23 @@
     assert_eq!(joined.decide(NOW, print(1)), refuse());
 }
 
+/// Guards against copies of one suspect crashing several workers at once.
+#[test]
+fn copies_of_a_suspect_go_to_one_worker() {
+    let workers = |range: std::ops::Range<u64>| range.map(ident::IncarnationId);
+    let mut counts = [0; 6];
+    for value in 0..600 {
+        let chosen = quarantine::trial_worker(print(value), workers(0..6)).map(|worker| worker.0);
+        let reversed = quarantine::trial_worker(print(value), workers(0..6).rev());
+        assert_eq!(chosen, reversed.map(|worker| worker.0), "the order doesn't matter");
+        let fewer = quarantine::trial_worker(print(value), workers(0..5)).map(|worker| worker.0);
+        assert!(chosen == Some(5) || chosen == fewer, "another worker's loss changes nothing");
+        counts[chosen.map_or(0, |number| number as usize)] += 1;
+    }
+    assert!(counts.iter().all(|count| (60..140).contains(count)), "{counts:?}");
+    assert_eq!(quarantine::trial_worker(print(1), workers(0..0)), None);
+}
+
 /// Guards against unbounded memory, and against forgetting a refused request for a suspect.
 #[test]
 fn memory_is_bounded_and_refusals_stay() {
--- a/crates/standin/src/load_model/driver.rs
+++ b/crates/standin/src/load_model/driver.rs
@@ -320,7 +320,17 @@
             RoutingScheme::Policy => {
                 let id = |worker: &usize| ident::IncarnationId(*worker as u64);
                 let tried: Vec<_> = record.tried.iter().map(id).collect();
-                let choice = state.selector.select(self.now, &tried, &mut self.choice_rng);
+                // Each node is the ingress of its callers and the egress of its worker.
+                let suspicion =
+                    self.registries[record.ingress].decide(self.now, record.fingerprint);
+                let choice = match suspicion {
+                    quarantine::SuspectDecision::RunAlone => {
+                        let untried = state.selector.workers().filter(|id| !tried.contains(id));
+                        let worker = quarantine::trial_worker(record.fingerprint, untried)?;
+                        state.selector.assign(self.now, worker)
+                    }
+                    _ => state.selector.select(self.now, &tried, &mut self.choice_rng),
+                };
                 choice.map(|choice| choice.worker.0 as usize)
             }
             RoutingScheme::LeastConnections if !config.sliced => {
@@ -542,7 +552,7 @@
     fn apply(&mut self, actions: Vec<admission::AdmissionAction>) {
         for action in actions {
             match action {
-                admission::AdmissionAction::Dispatch(id) => self.dispatch(id.0 as usize),
+                admission::AdmissionAction::Dispatch(id) => self.dispatch_queued(id.0 as usize),
                 admission::AdmissionAction::Refuse(id, _) => {
                     let end = AttemptEnd::Refused { everywhere: false };
                     self.conclude(id.0 as usize, end);
@@ -551,6 +561,15 @@
         }
     }
 
+    fn dispatch_queued(&mut self, attempt: usize) {
+        let ModelAttempt { job, worker, .. } = self.attempts[attempt];
+        let decision = self.registries[worker].decide(self.now, self.jobs[job].fingerprint);
+        if matches!(decision, quarantine::SuspectDecision::Refuse { .. }) {
+            return self.conclude(attempt, AttemptEnd::Refused { everywhere: true });
+        }
+        self.dispatch(attempt);
+    }
+
     fn spread(&mut self, notices: Vec<quarantine::SuspectNotice>) {
         for notice in notices {
             self.notices.push(notice);
--- a/crates/standin/tests/load_model.rs
+++ b/crates/standin/tests/load_model.rs
@@ -40,11 +40,12 @@
     }
 }
 
-/// Guards against losing a third worker to one request whose caller repeats it.
+/// Guards against losing a third worker to one request whose caller repeats it: with seed 3,
+/// copies that waited to run alone on two workers crashed both.
 #[test]
 fn one_request_crashes_at_most_two_workers() {
     for mix in mixes() {
-        for seed in SEEDS {
+        for seed in 1..=6 {
             let report = run(&scenario(&mix, "crashing request"), seed);
             assert!((1..=2).contains(&report.crashes), "seed {seed}: {report}");
         }
