Test liveness, acceptance, conditional writes and relays

The first run of the liveness test found a fault: over a one-way link the peer's own probes of lost members arrive once a second, so its state changed between suspect and alive every second.

A peer whose direct probes have failed for two seconds and that was heard within two seconds now counts as alive over a one-way link.

--- a/crates/control/src/liveness.rs
+++ b/crates/control/src/liveness.rs
@@ -168,6 +168,13 @@
 
     /// The state that the silence so far amounts to.
     fn judged(&self, now: time::Instant, config: &LivenessConfig) -> PeerState {
+        // Over a one-way link the only signs of life are the peer's own messages, which may come
+        // as rarely as probes of lost peers.
+        let is_one_way = self.direct_since.is_some_and(|at| now.since(at) >= config.lost_after)
+            && self.last_heard.is_some_and(|at| now.since(at) < config.lost_after);
+        if is_one_way {
+            return PeerState::Alive;
+        }
         let silence = self.silent_since.map_or(time::Duration::ZERO, |since| now.since(since));
         let is_asked = self.has_asked_relays;
         if silence >= config.lost_after && self.silent_probes >= LOST_PROBES && is_asked {
--- /dev/null
+++ b/crates/control/tests/acceptance.rs
@@ -0,0 +1,295 @@
+//! Acceptance of documents, conditional writes and the choice of relays.
+
+use std::collections::BTreeSet;
+
+use arbtest::arbtest;
+use cornelridge_control::acceptance::{
+    Candidate, DocumentSource, GateError, GateVerdict, MAX_DOCUMENT_BYTES, MAX_VERSION,
+    PULL_TIMEOUT, VersionGate,
+};
+use cornelridge_control::relay::{RelayCandidate, SILENCE_LIMIT, StoreAccess, access, relays};
+use cornelridge_control::write::{PendingWrite, PutAnswer, ReadAnswer, WriteResult, WriteStep};
+use cornelridge_model::{assignment, class, ident, time};
+
+const START: time::Instant = time::Instant(1_000_000_000);
+
+fn peer(number: u64) -> ident::IncarnationId {
+    ident::IncarnationId(number)
+}
+
+fn classes(revision: u64, change_id: u64) -> class::ClassDocument {
+    let revision = ident::RevisionNumber(revision);
+    class::ClassDocument { revision, change_id, classes: Vec::new() }
+}
+
+fn offer(gate: &mut VersionGate, source: DocumentSource, revision: u64) -> GateVerdict {
+    gate.offer(START, source, 100, &Candidate::Classes(&classes(revision, revision)))
+}
+
+/// Guards against a node that returns to an older configuration.
+#[test]
+fn only_higher_versions_are_accepted() {
+    let mut gate = VersionGate::new();
+    assert!(!gate.has_seen_store());
+    assert_eq!(offer(&mut gate, DocumentSource::Peer(peer(1)), 5), GateVerdict::Accepted);
+    assert!(!gate.has_seen_store(), "a peer isn't the store");
+    assert_eq!(offer(&mut gate, DocumentSource::Store, 4), GateVerdict::Older);
+    assert!(gate.has_seen_store());
+    assert_eq!(offer(&mut gate, DocumentSource::Store, 5), GateVerdict::Known);
+    assert_eq!(gate.source(), Some(DocumentSource::Peer(peer(1))));
+    assert_eq!(offer(&mut gate, DocumentSource::Store, 6), GateVerdict::Accepted);
+    assert_eq!((gate.version(), gate.source()), (6, Some(DocumentSource::Store)));
+}
+
+/// Guards against losing the good document to one that is corrupt, too large or contradictory.
+#[test]
+fn bad_documents_leave_the_good_one_in_force() {
+    let mut gate = VersionGate::new();
+    offer(&mut gate, DocumentSource::Store, 5);
+    let mut rejected = |size, candidate: &Candidate<'_>| {
+        let verdict = gate.offer(START, DocumentSource::Store, size, candidate);
+        assert_eq!(gate.version(), 5);
+        verdict
+    };
+    let next = classes(6, 6);
+    let too_large = rejected(MAX_DOCUMENT_BYTES + 1, &Candidate::Classes(&next));
+    assert!(matches!(too_large, GateVerdict::Rejected(GateError::TooLarge { .. })));
+    let undecodable = rejected(9, &Candidate::Undecodable("unexpected end"));
+    assert!(matches!(undecodable, GateVerdict::Rejected(GateError::Undecodable { .. })));
+    let conflicting = rejected(9, &Candidate::Classes(&classes(5, 99)));
+    assert_eq!(conflicting, GateVerdict::Rejected(GateError::Conflicting { version: 5 }));
+    let far = rejected(9, &Candidate::Classes(&classes(MAX_VERSION + 1, 1)));
+    assert!(matches!(far, GateVerdict::Rejected(GateError::VersionRange { .. })));
+    let lease = assignment::LeaseRecord {
+        holder: assignment::MemberKey(3),
+        generation: 1,
+        guards: Vec::new(),
+        retired: false,
+    };
+    let invalid = assignment::AssignmentDocument {
+        epoch: ident::EpochNumber(9),
+        leases: vec![lease],
+        ..assignment::AssignmentDocument::default()
+    };
+    let invalid = rejected(9, &Candidate::Assignment(&invalid));
+    assert!(matches!(invalid, GateVerdict::Rejected(GateError::Assignment(_))));
+}
+
+/// Guards against a node that stays behind because the peer it asks is silent, lies or is corrupt.
+#[test]
+fn pulls_move_on_to_another_peer() {
+    let mut gate = VersionGate::new();
+    assert_eq!(gate.next_pull(START), None);
+    gate.heard(START, peer(1), 7);
+    gate.heard(START, peer(2), 9);
+    gate.heard(START, peer(3), 8);
+    assert_eq!(gate.next_pull(START), Some(peer(2)));
+    assert_eq!(gate.next_pull(START), None, "one pull at a time");
+    let later = START + PULL_TIMEOUT;
+    assert_eq!(gate.next_pull(later), Some(peer(3)), "the first one is silent");
+    let corrupt = Candidate::Undecodable("bad");
+    gate.offer(later, DocumentSource::Peer(peer(3)), 10, &corrupt);
+    assert_eq!(gate.next_pull(later), Some(peer(1)));
+    assert_eq!(offer(&mut gate, DocumentSource::Peer(peer(1)), 7), GateVerdict::Accepted);
+    assert_eq!(gate.next_pull(later), None);
+    gate.heard(later, peer(3), 8);
+    assert_eq!(gate.next_pull(later), None, "a corrupt document isn't fetched again at once");
+    let much_later = later + time::Duration::from_secs(11);
+    gate.heard(much_later, peer(3), 8);
+    gate.heard(much_later, peer(1), 7);
+    assert_eq!(gate.next_pull(much_later), Some(peer(3)));
+    gate.forget(peer(3));
+    assert_eq!(gate.next_pull(much_later), None);
+}
+
+/// Guards against a gate whose version ever falls, whatever it is offered.
+#[test]
+fn the_version_never_falls() {
+    for seed in (0..100u64).map(|index| (index + 3) << 32 | 0x200) {
+        arbtest(|u| {
+            let mut gate = VersionGate::new();
+            let mut now = START;
+            let mut pulled = None;
+            for _ in 0..60 {
+                let before = gate.version();
+                now = now + time::Duration::from_millis(u.int_in_range(0..=900)?);
+                let from = peer(u.int_in_range(1..=5)?);
+                let version = u.int_in_range(0..=20)?;
+                match u.int_in_range(0..=3u8)? {
+                    0 => gate.heard(now, from, version),
+                    1 => pulled = gate.next_pull(now),
+                    2 => {
+                        let source = pulled.map_or(DocumentSource::Store, DocumentSource::Peer);
+                        let document = classes(version, u.int_in_range(0..=1)?);
+                        let candidate = Candidate::Classes(&document);
+                        let verdict = gate.offer(now, source, 50, &candidate);
+                        assert_eq!(verdict == GateVerdict::Accepted, gate.version() > before);
+                    }
+                    _ => gate.pull_failed(now, from),
+                }
+                assert!(gate.version() >= before);
+            }
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
+
+/// A store with one key that counts revisions.
+#[derive(Clone, Copy, Debug, Default)]
+struct StoreKey {
+    revision: u64,
+    change_id: u64,
+}
+
+impl StoreKey {
+    fn put(&mut self, if_match: u64, change_id: u64) -> PutAnswer {
+        if self.revision != if_match {
+            return PutAnswer::Mismatch;
+        }
+        *self = StoreKey { revision: self.revision + 1, change_id };
+        PutAnswer::Written(self.revision)
+    }
+
+    fn read(self) -> ReadAnswer {
+        match self.revision {
+            0 => ReadAnswer::Absent,
+            revision => ReadAnswer::Found { revision, change_id: Some(self.change_id) },
+        }
+    }
+}
+
+/// Guards against a wrong verdict about a write whose answers are lost or late, or which competes
+/// with others.
+#[test]
+fn a_write_knows_its_result_when_answers_are_lost() {
+    let mut results = [0; 4];
+    for seed in (0..400u64).map(|index| (index + 11) << 32 | 0x100) {
+        arbtest(|u| {
+            let base = u.int_in_range(0..=2)?;
+            let mut store = StoreKey { revision: base, change_id: 1 };
+            let mut write = PendingWrite::new(77, base);
+            let mut now = START;
+            let mut late = 0;
+            let mut took_effect = false;
+            let mut step = write.start(now);
+            let result = loop {
+                if u.ratio(1, 6u8)? {
+                    let revision = store.revision;
+                    store.put(revision, 1_000 + revision);
+                }
+                if late > 0 && u.arbitrary()? {
+                    late -= 1;
+                    took_effect |= matches!(store.put(base, 77), PutAnswer::Written(_));
+                }
+                step = match step {
+                    WriteStep::Done(result) => break result,
+                    WriteStep::Put { if_match, at } => {
+                        assert_eq!(if_match, base);
+                        now = now.max(at);
+                        match u.int_in_range(0..=3u8)? {
+                            0 => {
+                                late += 1;
+                                write.on_put(now, PutAnswer::Lost)
+                            }
+                            1 => {
+                                took_effect |= matches!(store.put(base, 77), PutAnswer::Written(_));
+                                write.on_put(now, PutAnswer::Lost)
+                            }
+                            _ => {
+                                let answer = store.put(base, 77);
+                                took_effect |= matches!(answer, PutAnswer::Written(_));
+                                write.on_put(now, answer)
+                            }
+                        }
+                    }
+                    WriteStep::Read { at } => {
+                        now = now.max(at);
+                        let is_lost = u.ratio(1, 4u8)?;
+                        let answer = if is_lost { ReadAnswer::Lost } else { store.read() };
+                        write.on_read(now, answer)
+                    }
+                };
+            };
+            for _ in 0..late {
+                let is_written = matches!(store.put(base, 77), PutAnswer::Written(_));
+                let may_follow = result == WriteResult::GaveUp;
+                assert!(!is_written || may_follow, "took effect after {result:?}");
+            }
+            match result {
+                WriteResult::TookEffect(_) => assert!(took_effect),
+                WriteResult::LostTo(_) => assert!(!took_effect),
+                WriteResult::Uncertain(_) | WriteResult::GaveUp => {}
+            }
+            results[match result {
+                WriteResult::TookEffect(_) => 0,
+                WriteResult::LostTo(_) => 1,
+                WriteResult::Uncertain(_) => 2,
+                WriteResult::GaveUp => 3,
+            }] += 1;
+            Ok(())
+        })
+        .seed(seed);
+    }
+    assert!(results[0] > 50 && results[1] > 20 && results[2] > 0, "{results:?}");
+}
+
+/// Guards against a write that never ends while the store is down.
+#[test]
+fn a_write_gives_up_when_the_store_is_down() {
+    let mut write = PendingWrite::new(77, 4);
+    let mut step = write.start(START);
+    let mut steps = 0;
+    while !matches!(step, WriteStep::Done(_)) {
+        step = match step {
+            WriteStep::Put { at, .. } => write.on_put(at, PutAnswer::Lost),
+            WriteStep::Read { at } => write.on_read(at, ReadAnswer::Lost),
+            WriteStep::Done(_) => step,
+        };
+        steps += 1;
+        assert!(steps < 100);
+    }
+    assert_eq!(step, WriteStep::Done(WriteResult::GaveUp));
+}
+
+fn candidates() -> Vec<RelayCandidate> {
+    let zones = ["norte", "centro", "sur"];
+    let candidate = |number: u64| RelayCandidate {
+        incarnation: peer(number),
+        zone: zones[number as usize % 3].into(),
+        is_alive: true,
+    };
+    (1..=12).map(candidate).collect()
+}
+
+/// Guards against too many watches, against a zone without one, and against nodes that disagree.
+#[test]
+fn two_members_of_each_zone_watch_the_store() {
+    let mut members = candidates();
+    let chosen = relays(&members).into_iter().collect::<BTreeSet<_>>();
+    assert_eq!(chosen, (1..=6).map(peer).collect());
+    members.reverse();
+    assert_eq!(relays(&members).into_iter().collect::<BTreeSet<_>>(), chosen);
+    members.iter_mut().filter(|m| m.incarnation.0 <= 6).for_each(|m| m.is_alive = false);
+    let next = relays(&members).into_iter().collect::<BTreeSet<_>>();
+    assert_eq!(next, (7..=12).map(peer).collect());
+}
+
+/// Guards against a node that hears of nothing, before the first document or when its relays are
+/// gone.
+#[test]
+fn a_node_without_news_polls_the_store() {
+    let mut rng = fastrand::Rng::with_seed(3);
+    let members = candidates();
+    let mut access = |members: &[RelayCandidate], local, last_heard| {
+        access(START, peer(local), members, last_heard, &mut rng)
+    };
+    assert_eq!(access(&members, 1, START), StoreAccess::Watch);
+    assert_eq!(access(&members, 12, START), StoreAccess::Peers);
+    let long_ago = time::Instant(START.0 - SILENCE_LIMIT.0 - 1);
+    assert!(matches!(access(&members, 12, long_ago), StoreAccess::Poll { .. }));
+    let pauses = (0..20).map(|_| access(&[], 1, START)).collect::<Vec<_>>();
+    let is_poll = |access: &StoreAccess| matches!(access, StoreAccess::Poll { .. });
+    assert!(pauses.iter().all(is_poll));
+    assert!(pauses.iter().any(|pause| *pause != pauses[0]), "polls have jitter");
+}
--- /dev/null
+++ b/crates/control/tests/liveness.rs
@@ -0,0 +1,272 @@
+//! Peer liveness on a simulated network with losses, broken links and pauses.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cornelridge_control::liveness::{
+    LivenessAction, LivenessConfig, PeerLink, PeerLiveness, PeerState,
+};
+use cornelridge_model::{ident, time};
+
+const STEP: time::Duration = time::Duration::from_millis(50);
+
+fn id(node: usize) -> ident::IncarnationId {
+    ident::IncarnationId(node as u64 + 1)
+}
+
+fn index(incarnation: ident::IncarnationId) -> usize {
+    incarnation.0 as usize - 1
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Message {
+    Probe { nonce: u64 },
+    Ack { nonce: u64, target: ident::IncarnationId },
+    Relay { nonce: u64, target: ident::IncarnationId },
+}
+
+/// Nodes that exchange probes; each message arrives in the next step.
+struct Network {
+    now: time::Instant,
+    nodes: Vec<PeerLiveness>,
+    dead: BTreeSet<usize>,
+    cut: BTreeSet<(usize, usize)>,
+    loss_percent: u8,
+    rng: fastrand::Rng,
+    messages: Vec<(usize, usize, Message)>,
+    sent: BTreeMap<(usize, u64), u64>,
+    changes: Vec<(usize, usize, PeerState, time::Instant)>,
+    replaced: Vec<LivenessAction>,
+}
+
+impl Network {
+    fn new(count: usize, seed: u64) -> Network {
+        let config = LivenessConfig::default();
+        let mut nodes = Vec::new();
+        for node in 0..count {
+            let mut liveness = PeerLiveness::new(config, node as u64 * 1_000_000);
+            let peers = (0..count).filter(|peer| *peer != node).map(id).collect::<Vec<_>>();
+            liveness.set_peers(&peers);
+            nodes.push(liveness);
+        }
+        Network {
+            now: time::Instant(1_000_000_000),
+            nodes,
+            dead: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            loss_percent: 0,
+            rng: fastrand::Rng::with_seed(seed),
+            messages: Vec::new(),
+            sent: BTreeMap::new(),
+            changes: Vec::new(),
+            replaced: Vec::new(),
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        let is_probe = !matches!(message, Message::Ack { .. });
+        if is_probe {
+            *self.sent.entry((from, self.now.0 / 1_000_000)).or_default() += 1;
+        }
+        let is_lost = self.rng.u8(0..100) < self.loss_percent;
+        if !is_lost && !self.cut.contains(&(from, to)) {
+            self.messages.push((from, to, message));
+        }
+    }
+
+    fn act(&mut self, node: usize, actions: Vec<LivenessAction>) {
+        for action in actions {
+            match action {
+                LivenessAction::Probe { to, nonce } => {
+                    self.send(node, index(to), Message::Probe { nonce });
+                }
+                LivenessAction::AskRelay { via, target, nonce } => {
+                    self.send(node, index(via), Message::Relay { nonce, target });
+                }
+                LivenessAction::RelayAck { to, nonce, target } => {
+                    self.send(node, index(to), Message::Ack { nonce, target });
+                }
+                LivenessAction::Changed { peer, state } => {
+                    self.changes.push((node, index(peer), state, self.now));
+                }
+                replaced @ LivenessAction::Replaced { .. } => self.replaced.push(replaced),
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + STEP;
+        for (from, to, message) in std::mem::take(&mut self.messages) {
+            if self.dead.contains(&to) {
+                continue;
+            }
+            let heard = self.nodes[to].heard(self.now, id(from));
+            self.act(to, heard);
+            match message {
+                Message::Probe { nonce } => {
+                    self.send(to, from, Message::Ack { nonce, target: id(to) });
+                }
+                Message::Ack { nonce, target } => {
+                    let actions = self.nodes[to].on_ack(self.now, id(from), nonce, target);
+                    self.act(to, actions);
+                }
+                Message::Relay { nonce, target } => {
+                    let action = self.nodes[to].on_relay(self.now, id(from), nonce, target);
+                    self.act(to, action.into_iter().collect());
+                }
+            }
+        }
+        for node in 0..self.nodes.len() {
+            if !self.dead.contains(&node) {
+                let actions = self.nodes[node].poll(self.now, &mut self.rng);
+                self.act(node, actions);
+            }
+        }
+    }
+
+    fn run(&mut self, seconds: u64) {
+        for _ in 0..seconds * 20 {
+            self.step();
+        }
+    }
+
+    fn changes_to(&self, state: PeerState) -> usize {
+        self.changes.iter().filter(|(_, _, to, _)| *to == state).count()
+    }
+}
+
+/// Guards against taking lost datagrams for lost nodes.
+#[test]
+fn a_lossy_network_loses_no_member() {
+    let mut network = Network::new(24, 1);
+    network.loss_percent = 5;
+    network.run(120);
+    assert_eq!(network.changes_to(PeerState::Lost), 0);
+}
+
+/// Guards against a lost node that some peers never notice, and against a slow notice at those
+/// that watch it.
+#[test]
+fn every_peer_finds_a_lost_node() {
+    let mut network = Network::new(24, 2);
+    network.nodes[1].set_watched(&[id(0)]);
+    network.run(20);
+    network.dead.insert(0);
+    let lost_at = network.now;
+    network.run(1);
+    let watcher = network.changes.iter().find(|(node, peer, ..)| (*node, *peer) == (1, 0));
+    let (_, _, state, at) = watcher.expect("the watcher notices within a second");
+    assert_eq!(*state, PeerState::Suspect);
+    assert!(at.since(lost_at) <= time::Duration::from_millis(1_000));
+    network.run(30);
+    for node in 1..24 {
+        assert_eq!(network.nodes[node].state(id(0)), PeerState::Lost, "node {node}");
+        assert_eq!(network.nodes[node].lost(), [id(0)]);
+        assert_eq!(network.nodes[node].link(network.now, id(0)), PeerLink::Down);
+    }
+}
+
+/// Guards against taking one broken link for a lost node.
+#[test]
+fn a_broken_link_is_bridged_by_other_members() {
+    let mut network = Network::new(8, 3);
+    network.cut.extend([(0, 1), (1, 0)]);
+    network.run(60);
+    assert_eq!(network.changes_to(PeerState::Lost), 0);
+    assert_eq!(network.changes_to(PeerState::Suspect), 0);
+    for (node, peer) in [(0, 1), (1, 0)] {
+        let link = network.nodes[node].link(network.now, id(peer));
+        assert!(matches!(link, PeerLink::Relayed(_)), "{link:?}");
+    }
+    assert_eq!(network.nodes[0].link(network.now, id(2)), PeerLink::Direct);
+    network.cut.clear();
+    network.run(20);
+    assert_eq!(network.nodes[0].link(network.now, id(1)), PeerLink::Direct);
+}
+
+/// Guards against a link that works in one direction only and looks whole from one end.
+#[test]
+fn a_one_way_link_is_not_direct() {
+    let mut network = Network::new(2, 4);
+    network.cut.insert((0, 1));
+    network.run(30);
+    assert_eq!(network.nodes[0].state(id(1)), PeerState::Alive, "its probes arrive");
+    assert_eq!(network.nodes[0].link(network.now, id(1)), PeerLink::OneWay);
+    assert_eq!(network.nodes[1].state(id(0)), PeerState::Lost, "nothing arrives");
+}
+
+/// Guards against traffic that grows with the number of members or with the number of failures.
+#[test]
+fn the_rate_of_datagrams_is_bounded() {
+    let most = LivenessConfig::default().datagrams_per_second;
+    for (count, dead) in [(10, 0), (157, 0), (157, 52), (157, 156)] {
+        let mut network = Network::new(count, 5);
+        network.nodes[0].set_watched(&(1..30).map(id).collect::<Vec<_>>());
+        network.run(5);
+        network.dead.extend(1..=dead);
+        network.run(15);
+        for ((node, second), sent) in &network.sent {
+            // The allowance of one second may be spent at once at its end and its beginning.
+            assert!(*sent <= 2 * most, "node {node} sent {sent} in second {second}");
+        }
+        let total = network.sent.iter().filter(|((node, _), _)| *node == 0);
+        let total = total.map(|(_, sent)| *sent).sum::<u64>();
+        assert!(total <= (20 + 1) * most, "{count} members, {dead} dead: {total}");
+    }
+}
+
+/// Guards against forgetting lost members: they return without the help of the store.
+#[test]
+fn a_lost_member_that_returns_is_found() {
+    let mut network = Network::new(6, 6);
+    network.run(5);
+    network.dead.insert(0);
+    network.run(20);
+    assert_eq!(network.nodes[3].state(id(0)), PeerState::Lost);
+    network.dead.clear();
+    network.nodes[0].set_peers(&[]);
+    network.run(20);
+    for node in 1..6 {
+        assert_eq!(network.nodes[node].state(id(0)), PeerState::Alive, "node {node}");
+    }
+}
+
+/// Guards against taking a new process on the same address for the old one.
+#[test]
+fn another_incarnation_at_the_address_is_reported() {
+    let mut liveness = PeerLiveness::new(LivenessConfig::default(), 7);
+    liveness.set_peers(&[id(0)]);
+    let now = time::Instant(1_000_000);
+    let actions = liveness.poll(now, &mut fastrand::Rng::with_seed(1));
+    let nonce = actions.iter().find_map(|action| match action {
+        LivenessAction::Probe { nonce, .. } => Some(*nonce),
+        _ => None,
+    });
+    let nonce = nonce.expect("a probe");
+    let replaced = LivenessAction::Replaced { old: id(0), new: id(9) };
+    assert_eq!(liveness.on_ack(now, id(9), nonce, id(9)), [replaced]);
+    assert_eq!(liveness.on_ack(now, id(9), nonce, id(9)), [], "the nonce is used up");
+    assert_eq!(liveness.on_ack(now, id(0), 4_711, id(0)), [], "a nonce that was never sent");
+}
+
+/// Guards against blaming the peers for a pause of this process.
+#[test]
+fn a_pause_of_this_process_loses_nobody() {
+    let mut network = Network::new(6, 8);
+    network.run(10);
+    let now = network.now + time::Duration::from_secs(30);
+    let actions = network.nodes[0].poll(now, &mut fastrand::Rng::with_seed(1));
+    let is_change = |action: &LivenessAction| matches!(action, LivenessAction::Changed { .. });
+    assert!(!actions.iter().any(is_change), "{actions:?}");
+}
+
+/// Guards against a member that makes others carry an unbounded number of probes.
+#[test]
+fn carried_probes_are_bounded() {
+    let config = LivenessConfig { datagrams_per_second: 1_000, ..LivenessConfig::default() };
+    let mut liveness = PeerLiveness::new(config, 0);
+    liveness.set_peers(&[id(0), id(1)]);
+    let now = time::Instant(1_000_000);
+    let carried = (0..200).filter_map(|nonce| liveness.on_relay(now, id(0), nonce, id(1)));
+    assert_eq!(carried.count(), 32);
+    assert_eq!(liveness.on_relay(now, id(0), 1, id(5)), None, "not a member");
+}
