--- a/crates/node/src/policies.rs
+++ b/crates/node/src/policies.rs
@@ -118,6 +118,7 @@
                 deadline: attempt.deadline,
                 expected_latency: expected,
                 other_worker: attempt.other_worker,
+                refused_for_load: attempt.failure.kind == failure::FailureKind::Overloaded,
                 refused_everywhere: !attempt.failure.is_local_to_node(),
                 response_started: false,
             };
--- a/crates/standin/examples/bench/main.rs
+++ b/crates/standin/examples/bench/main.rs
@@ -4,10 +4,10 @@
 
 mod figure;
 mod path;
-mod trial;
+mod process;
 
 use std::env;
-use std::process;
+use std::process::ExitCode;
 
 /// A scenario with what it measures.
 struct Scenario {
@@ -22,23 +22,24 @@
     run: path::run,
 }];
 
-fn main() -> process::ExitCode {
+fn main() -> ExitCode {
     let args: Vec<String> = env::args().skip(1).collect();
     let result = match args.first().map(String::as_str) {
         None | Some("--list") => {
             SCENARIOS.iter().for_each(|scenario| println!("{} {}", scenario.name, scenario.about));
             Ok(())
         }
+        Some(process::NODE_ARGUMENT) => process::run_node(&args[1..]),
         Some(name) => match SCENARIOS.iter().find(|scenario| scenario.name == name) {
             Some(scenario) => (scenario.run)(&args[1..]),
             None => Err(format!("unknown scenario {name:?}; --list names them")),
         },
     };
     match result {
-        Ok(()) => process::ExitCode::SUCCESS,
+        Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("bench: {error}");
-            process::ExitCode::FAILURE
+            ExitCode::FAILURE
         }
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 //! # Ok::<(), std::io::Error>(())
 //! ```
 
+pub mod balance_model;
 pub mod caller;
 pub mod deployment;
 pub mod host;
