Skip settling and scanning work when nothing changed

A confirmation that isn't new no longer settles all slices, and ending a request scans the work in flight only while an epoch is unconfirmed.

--- a/crates/ownership/src/protocol.rs
+++ b/crates/ownership/src/protocol.rs
@@ -152,8 +152,7 @@
                 if member == from {
                     self.contacts.hear(self.clock.active(), from);
                 }
-                self.slices.confirm(member, epoch);
-                true
+                self.slices.confirm(member, epoch)
             }
             message::OwnershipMessage::Released { lease } => self.note_release(now, lease),
         }
--- a/crates/ownership/src/settle.rs
+++ b/crates/ownership/src/settle.rs
@@ -70,8 +70,9 @@
 
     /// Confirms the epoch in force once all work for lost slices has ended.
     pub(crate) fn confirm(&mut self) {
-        if self.works.ending() == 0 {
-            self.confirmed = self.slices.document().epoch;
+        let epoch = self.slices.document().epoch;
+        if self.confirmed < epoch && self.works.ending() == 0 {
+            self.confirmed = epoch;
         }
     }
 
--- a/crates/ownership/src/slices.rs
+++ b/crates/ownership/src/slices.rs
@@ -94,12 +94,13 @@
         &self.ledger
     }
 
-    /// Counts a confirmation; the highest one counts.
-    pub fn confirm(&mut self, member: ident::IncarnationId, epoch: ident::EpochNumber) {
-        if self.members.contains_key(&member) {
-            let known = self.confirmed.entry(member).or_default();
-            *known = epoch.max(*known);
+    /// Counts a confirmation if it is the highest of the member; tells whether it is.
+    pub fn confirm(&mut self, member: ident::IncarnationId, epoch: ident::EpochNumber) -> bool {
+        let is_new = self.members.contains_key(&member) && epoch > self.confirmed(member);
+        if is_new {
+            self.confirmed.insert(member, epoch);
         }
+        is_new
     }
 
     /// The highest epoch that a member is known to have confirmed.
