Limit unfinished handshakes of connecting peers

max_incoming limits only connections that the endpoint hasn't looked at yet, and it accepts at once, so packets with forged addresses could hold any number of handshakes for 3 s. Above 64 unfinished ones a peer must first show that it receives at its address; above 256 packets are ignored.

NodeEndpoint::counts gives connections, handshakes and dropped datagrams for metrics.

--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time;
 
 use bytes::Bytes;
@@ -108,8 +108,12 @@
     }
 
     /// Passes on what the peer sends until the connection is lost.
-    pub(crate) async fn serve(self: &Arc<PeerConnection>, events: &channel::Sender<PeerEvent>) {
-        future::zip(self.serve_streams(events), self.serve_datagrams(events)).await;
+    pub(crate) async fn serve(
+        self: &Arc<PeerConnection>,
+        events: &channel::Sender<PeerEvent>,
+        dropped: &AtomicU64,
+    ) {
+        future::zip(self.serve_streams(events), self.serve_datagrams(events, dropped)).await;
     }
 
     async fn serve_streams(self: &Arc<PeerConnection>, events: &channel::Sender<PeerEvent>) {
@@ -146,7 +150,7 @@
         }
     }
 
-    async fn serve_datagrams(&self, events: &channel::Sender<PeerEvent>) {
+    async fn serve_datagrams(&self, events: &channel::Sender<PeerEvent>, dropped: &AtomicU64) {
         while let Ok(datagram) = self.connection.read_datagram().await {
             if datagram.is_empty() {
                 continue;
@@ -157,7 +161,7 @@
                 continue;
             };
             if events.try_send(PeerEvent::Datagram { from, message }).is_err() {
-                log::debug!(peer:% = from; "datagram dropped: the receiver is behind");
+                dropped.fetch_add(1, Ordering::Relaxed);
             }
         }
     }
--- a/crates/wire/src/transport.rs
+++ b/crates/wire/src/transport.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::net;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time;
 
@@ -41,8 +42,12 @@
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(900);
 /// Time in which a connecting peer must have proved its identity.
 const HANDSHAKE_TIMEOUT: time::Duration = time::Duration::from_secs(3);
-/// Handshakes of connecting peers that may be unfinished; further ones are refused.
+/// Handshakes of connecting peers that may be unfinished; further ones are ignored, and the peer
+/// repeats its first packet.
 const MAX_HANDSHAKES: usize = 256;
+/// Unfinished handshakes above which a peer must first show that it receives at its address. This
+/// keeps places free for nodes while packets with forged addresses arrive.
+const FREE_HANDSHAKES: usize = 64;
 /// Events that wait for the receiver. When it is full, streams wait and datagrams are dropped.
 const EVENT_CAPACITY: usize = 1_024;
 /// Code of connections of a closed endpoint.
@@ -84,6 +89,17 @@
     },
 }
 
+/// State of an endpoint, for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TransportCounts {
+    /// Established connections in both directions.
+    pub connections: usize,
+    /// Unfinished handshakes of connecting peers.
+    pub handshakes: usize,
+    /// Received datagrams that were dropped since the start because the receiver was behind.
+    pub dropped_datagrams: u64,
+}
+
 /// A QUIC endpoint that connects to peers and accepts their connections; cheap to clone.
 ///
 /// Its tasks run on the global executor of `smol`. Dropping the last clone closes it.
@@ -102,6 +118,8 @@
     client: Mutex<quinn::ClientConfig>,
     events: channel::Sender<PeerEvent>,
     watch: channel::Sender<Arc<PeerConnection>>,
+    handshakes: AtomicUsize,
+    dropped_datagrams: AtomicU64,
 }
 
 #[derive(Debug)]
@@ -137,6 +155,8 @@
             client: Mutex::new(client_config(&identity)),
             events,
             watch,
+            handshakes: AtomicUsize::new(0),
+            dropped_datagrams: AtomicU64::new(0),
         });
         smol::spawn(accept(Arc::clone(&shared))).detach();
         smol::spawn(watchdog::watch(watched)).detach();
@@ -159,6 +179,15 @@
         self.shared.peers().connections()
     }
 
+    /// Figures for metrics.
+    pub fn counts(&self) -> TransportCounts {
+        TransportCounts {
+            connections: self.connections(),
+            handshakes: self.shared.handshakes.load(Ordering::Relaxed),
+            dropped_datagrams: self.shared.dropped_datagrams.load(Ordering::Relaxed),
+        }
+    }
+
     /// Sends a control message that may get lost. Connects in the background if necessary.
     pub fn send_datagram(&self, to: net::SocketAddr, message: &generated::ControlMessage) {
         let datagram = Bytes::from(message.encode_to_vec());
@@ -295,15 +324,16 @@
         for datagram in queued {
             connection.send_datagram(datagram);
         }
-        connection.serve(&self.events).await;
+        connection.serve(&self.events, &self.dropped_datagrams).await;
         self.peers().lost(peer, &connection);
     }
 
     /// Completes the handshake of a connecting peer and serves it.
-    async fn admit(self: Arc<Shared>, incoming: quinn::Incoming) {
+    async fn admit(self: Arc<Shared>, incoming: quinn::Incoming, place: HandshakePlace) {
         let Ok(connecting) = incoming.accept() else { return };
         let handshake = async { connecting.await.ok() };
         let Some(connection) = future::or(handshake, handshake_timeout()).await else { return };
+        drop(place);
         let peer = connection.remote_address();
         if !is_node(&connection) {
             log::warn!(peer:% = peer; "connection refused: the certificate is not one of a node");
@@ -316,9 +346,36 @@
     }
 }
 
+/// Counts one unfinished handshake.
+struct HandshakePlace(Arc<Shared>);
+
+impl HandshakePlace {
+    fn new(shared: &Arc<Shared>) -> HandshakePlace {
+        shared.handshakes.fetch_add(1, Ordering::Relaxed);
+        HandshakePlace(Arc::clone(shared))
+    }
+}
+
+impl Drop for HandshakePlace {
+    fn drop(&mut self) {
+        self.0.handshakes.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 async fn accept(shared: Arc<Shared>) {
     while let Some(incoming) = shared.endpoint.accept().await {
-        smol::spawn(Arc::clone(&shared).admit(incoming)).detach();
+        let handshakes = shared.handshakes.load(Ordering::Relaxed);
+        if handshakes >= MAX_HANDSHAKES {
+            incoming.ignore();
+            continue;
+        }
+        if handshakes >= FREE_HANDSHAKES && incoming.may_retry() {
+            let _ = incoming.retry();
+            continue;
+        }
+        // Counted here, because many packets may be taken before the first task runs.
+        let place = HandshakePlace::new(&shared);
+        smol::spawn(Arc::clone(&shared).admit(incoming, place)).detach();
     }
 }
 
--- a/crates/wire/tests/hostile.rs
+++ b/crates/wire/tests/hostile.rs
@@ -8,11 +8,14 @@
 use std::sync::Arc;
 
 use cornelridge_wire::{codec, generated, identity, transport};
+use futures_lite::future;
 use quinn::crypto::rustls::QuicClientConfig;
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
 
-use support::{bind, chunk, head, next_datagram, next_stream, pair, probe, request_id, run};
+use support::{
+    CutLink, bind, chunk, head, next_datagram, next_stream, pair, probe, request_id, run,
+};
 
 /// A QUIC client that presents any certificate, or none, and sends any bytes.
 fn raw_client(pem: &identity::IdentityPem, presents: bool, alpn: &[u8]) -> quinn::Endpoint {
@@ -127,6 +130,29 @@
     });
 }
 
+/// First packets with forged addresses must not take the places of nodes that connect.
+#[test]
+fn forged_addresses_do_not_keep_nodes_out() {
+    run(async {
+        let authority = identity::TrialAuthority::new().unwrap();
+        let server = bind(authority.issue("server").unwrap());
+        let link = CutLink::before(server.local_address()).await;
+        link.make_one_way();
+        let client = raw_client(&authority.issue_pem("node").unwrap(), true, identity::ALPN);
+        let mut attempts = Vec::new();
+        while server.counts().handshakes < 64 {
+            // More come than have been answered, until the server asks for proof of the address.
+            attempts.push(client.connect(link.address, identity::NODE_SERVER_NAME).unwrap());
+            future::yield_now().await;
+        }
+        for _ in 0..300 {
+            attempts.push(client.connect(link.address, identity::NODE_SERVER_NAME).unwrap());
+        }
+        assert_serves(&bind(authority.issue("a").unwrap()), &server, 1).await;
+        assert!(server.counts().handshakes <= 65, "{:?}", server.counts());
+    });
+}
+
 /// Invalid frames of a valid peer must end their stream with an error, and no other.
 #[test]
 fn invalid_frames_end_their_stream_only() {
--- a/crates/wire/tests/support/mod.rs
+++ b/crates/wire/tests/support/mod.rs
@@ -84,6 +84,7 @@
 pub(crate) struct CutLink {
     pub(crate) address: net::SocketAddr,
     is_cut: Arc<AtomicBool>,
+    is_one_way: Arc<AtomicBool>,
     _tasks: Vec<smol::Task<()>>,
 }
 
@@ -93,6 +94,7 @@
         let outer = smol::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
         let address = outer.local_addr().unwrap();
         let is_cut = Arc::new(AtomicBool::new(false));
+        let is_one_way = Arc::new(AtomicBool::new(false));
         let caller = Arc::new(Mutex::new(None));
         let (near, far) = (outer.clone(), inner.clone());
         let (cut, noted) = (Arc::clone(&is_cut), Arc::clone(&caller));
@@ -105,23 +107,29 @@
                 }
             }
         });
-        let cut = Arc::clone(&is_cut);
+        let (cut, one_way) = (Arc::clone(&is_cut), Arc::clone(&is_one_way));
         let backward = smol::spawn(async move {
             let mut packet = vec![0; 65_536];
             while let Ok((length, _)) = inner.recv_from(&mut packet).await {
                 let to = *caller.lock().unwrap();
-                if let (Some(to), false) = (to, cut.load(Ordering::SeqCst)) {
+                let is_open = !cut.load(Ordering::SeqCst) && !one_way.load(Ordering::SeqCst);
+                if let (Some(to), true) = (to, is_open) {
                     let _ = outer.send_to(&packet[..length], to).await;
                 }
             }
         });
-        CutLink { address, is_cut, _tasks: vec![forward, backward] }
+        CutLink { address, is_cut, is_one_way, _tasks: vec![forward, backward] }
     }
 
     pub(crate) fn cut(&self) {
         self.is_cut.store(true, Ordering::SeqCst);
     }
 
+    /// Drops what comes back, as if the sender's address were forged.
+    pub(crate) fn make_one_way(&self) {
+        self.is_one_way.store(true, Ordering::SeqCst);
+    }
+
     pub(crate) fn mend(&self) {
         self.is_cut.store(false, Ordering::SeqCst);
     }
