Hand frames to QUIC without a copy and grant 64 streams at first

Profiles of 300-byte echoes showed a fifth of the time in allocation and copies. A frame buffer now becomes Bytes without another allocation, and a cancelled send keeps its bytes in place. The change stays because the code is simpler.

Granting 32 streams made QUIC send credit every fifth request on a quiet connection: 25,219 packets for 21,000 echoes one at a time.

Tests added: store connections are reused and replaced, stand-ins stop when cancelled or dropped.

--- a/crates/standin/tests/upstream.rs
+++ b/crates/standin/tests/upstream.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashSet;
 use std::net;
+use std::sync::Arc;
 use std::time;
 
 use cornelridge_model::class::KeyDivision;
@@ -208,6 +209,30 @@
     }
 }
 
+/// A stand-in that is cancelled or dropped must close its port, on a given executor as well, or
+/// later runs would meet it.
+#[test]
+fn stand_ins_stop() {
+    run(async {
+        let executor = Arc::new(smol::Executor::new());
+        let host = host::StandinHost::executor(Arc::clone(&executor));
+        let cancel = CancellationToken::new();
+        let stopping = async {
+            let server = UpstreamServer::start_with(&host, settings(), cancel.clone()).unwrap();
+            let address = server.address();
+            assert_eq!(send(&host, calls(address, 4)).await.count(CallOutcome::Whole), 4);
+            cancel.cancel();
+            while smol::net::TcpStream::connect(address).await.is_ok() {}
+            let server = UpstreamServer::start(&host, settings()).unwrap();
+            let address = server.address();
+            assert_eq!(send(&host, calls(address, 4)).await.count(CallOutcome::Whole), 4);
+            drop(server);
+            while smol::net::TcpStream::connect(address).await.is_ok() {}
+        };
+        executor.run(stopping).await;
+    });
+}
+
 /// The caller must see an answer to another request and one that is too short.
 #[test]
 fn the_caller_sees_wrong_answers() {
--- a/crates/store/tests/answers.rs
+++ b/crates/store/tests/answers.rs
@@ -82,3 +82,48 @@
         assert!(error.may_have_taken_effect());
     });
 }
+
+/// Calls one after the other must share a connection, or each would cost a handshake.
+#[test]
+fn connections_are_reused() {
+    smol::block_on(async {
+        let listener = smol::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let settings = client::StoreSettings::new(listener.local_addr().unwrap());
+        // Further connections are taken by the kernel but never answered.
+        let serving = smol::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut request = [0; 4_096];
+            while stream.read(&mut request).await.is_ok_and(|length| length > 0) {
+                let answer = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
+                stream.write_all(answer).await.unwrap();
+            }
+        });
+        let store = client::StoreClient::new(settings);
+        for _ in 0..10 {
+            assert_eq!(store.get("classes").await.unwrap(), None);
+        }
+        drop(store);
+        serving.await;
+    });
+}
+
+/// A kept connection that the store has closed must be replaced without an error to the caller.
+#[test]
+fn a_closed_connection_is_replaced() {
+    smol::block_on(async {
+        let listener = smol::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let settings = client::StoreSettings::new(listener.local_addr().unwrap());
+        let store = client::StoreClient::new(settings);
+        for _ in 0..3 {
+            let answering = async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let _ = stream.read(&mut [0; 4_096]).await;
+                let answer =
+                    b"HTTP/1.1 404 Not Found\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+                stream.write_all(answer).await.unwrap();
+            };
+            let (answer, ()) = futures_lite::future::zip(store.get("classes"), answering).await;
+            assert_eq!(answer.unwrap(), None);
+        }
+    });
+}
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -16,13 +16,14 @@
 pub fn encode_frame<M: prost::Message>(
     message: &M,
     limit: usize,
-    buffer: &mut BytesMut,
+    buffer: &mut Vec<u8>,
 ) -> Result<(), FrameError> {
     let length = message.encoded_len();
     if length > limit {
         return Err(FrameError::TooLong { length, limit });
     }
-    buffer.reserve(PREFIX_BYTES + length);
+    // A buffer without spare room becomes `Bytes` without another allocation.
+    buffer.reserve_exact(PREFIX_BYTES + length);
     buffer.put_u32(length as u32);
     message.encode_raw(buffer);
     Ok(())
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -16,9 +16,11 @@
 
 /// Time in which the first frame of a stream must arrive.
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(5);
-/// Streams that a peer may open on a new connection. QUIC reserves about 70 bytes for each, open or
+/// Streams that a peer may open on a new connection. QUIC reserves about 80 bytes for each, open or
 /// not, on both ends, so that the full number would cost more than all the rest of a connection.
-pub(crate) const INITIAL_STREAMS: u32 = 32;
+/// With half as many, credit for further streams would take a fifth more packets on quiet
+/// connections, and with this number it takes a ninth.
+pub(crate) const INITIAL_STREAMS: u32 = 64;
 /// Streams that a peer may have open; reached by doubling while more than half are in use.
 pub(crate) const MAX_STREAMS: u32 = 1_024;
 /// Code of a connection whose peer stopped answering.
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::Bytes;
 
 use crate::codec;
 use crate::connection;
@@ -21,16 +21,16 @@
     stream: quinn::SendStream,
     guard: connection::StreamGuard,
     /// Encoded frames that aren't handed to QUIC yet.
-    queued: BytesMut,
+    queued: Vec<u8>,
     /// The frames being handed over, so that a cancelled `send` loses none of their bytes.
-    unsent: Bytes,
+    unsent: [Bytes; 1],
     sent: bool,
     ended: bool,
 }
 
 impl FrameWriter {
     pub(crate) fn new(stream: quinn::SendStream, guard: connection::StreamGuard) -> FrameWriter {
-        let (queued, unsent) = (BytesMut::new(), Bytes::new());
+        let (queued, unsent) = (Vec::new(), [Bytes::new()]);
         FrameWriter { stream, guard, queued, unsent, sent: false, ended: false }
     }
 
@@ -67,18 +67,16 @@
     /// Sends the messages that were queued.
     pub async fn flush(&mut self) -> Result<(), TransportError> {
         loop {
-            if self.unsent.is_empty() {
+            if self.unsent[0].is_empty() {
                 if self.queued.is_empty() {
                     return Ok(());
                 }
-                self.unsent = self.queued.split().freeze();
+                self.unsent = [Bytes::from(std::mem::take(&mut self.queued))];
             }
-            // The buffer is advanced only by what QUIC has accepted, also if this is cancelled.
-            let mut chunk = [self.unsent.clone()];
-            let written = self.stream.write_chunks(&mut chunk).await;
-            let bytes = written.map_err(|error| self.write_error(error))?.bytes;
-            self.unsent.advance(bytes);
-            self.sent |= bytes > 0;
+            // QUIC takes out of `unsent` only what it accepts, also if this is cancelled.
+            let written = self.stream.write_chunks(&mut self.unsent).await;
+            let written = written.map_err(|error| self.write_error(error))?;
+            self.sent |= written.bytes > 0;
         }
     }
 
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -1,6 +1,6 @@
 //! Frames: guards against lost, merged, oversized and truncated messages.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use cornelridge_wire::{codec, generated};
 
 const SEEDS: [u64; 4] = [1, 7, 42, 4711];
@@ -17,11 +17,11 @@
             let lengths: Vec<usize> = (0..u.int_in_range(1..=8)?)
                 .map(|_| u.int_in_range(0..=3_000))
                 .collect::<Result<_, _>>()?;
-            let mut encoded = BytesMut::new();
+            let mut encoded = Vec::new();
             for length in &lengths {
                 codec::encode_frame(&chunk(*length), codec::MAX_FRAME_BYTES, &mut encoded).unwrap();
             }
-            let mut rest = encoded.freeze();
+            let mut rest = Bytes::from(encoded);
             let mut decoder = codec::FrameDecoder::default();
             let mut decoded = Vec::new();
             while !rest.is_empty() {
@@ -60,7 +60,7 @@
 /// A message above the limit must not be sent, and an announced length above it not be awaited.
 #[test]
 fn oversized_frames_are_refused() {
-    let mut buffer = BytesMut::new();
+    let mut buffer = Vec::new();
     let refused =
         codec::encode_frame(&chunk(codec::MAX_FRAME_BYTES), codec::MAX_FRAME_BYTES, &mut buffer);
     assert!(matches!(refused, Err(codec::FrameError::TooLong { .. })), "{refused:?}");
@@ -77,7 +77,7 @@
 /// A full chunk must fit into a frame.
 #[test]
 fn a_full_chunk_fits_into_a_frame() {
-    let mut buffer = BytesMut::new();
+    let mut buffer = Vec::new();
     codec::encode_frame(&chunk(codec::MAX_CHUNK_BYTES), codec::MAX_FRAME_BYTES, &mut buffer)
         .unwrap();
 }
--- a/crates/wire/tests/hostile.rs
+++ b/crates/wire/tests/hostile.rs
@@ -170,7 +170,7 @@
             let reset = quinn::ReadError::Reset(2_u32.into());
             assert_eq!(error, quinn::ReadToEndError::Read(reset), "{bytes:?}");
         }
-        let mut frame = bytes::BytesMut::new();
+        let mut frame = Vec::new();
         codec::encode_frame(&head(5), codec::MAX_FRAME_BYTES, &mut frame).unwrap();
         codec::encode_frame(&chunk(vec![1; 10], true), codec::MAX_FRAME_BYTES, &mut frame).unwrap();
         let (mut send, _receive) = connection.open_bi().await.unwrap();
@@ -197,7 +197,7 @@
         let connection = connecting.unwrap().await.unwrap();
         let (mut stalled, _receive) = connection.open_bi().await.unwrap();
         stalled.write_all(&[0, 0]).await.unwrap();
-        let mut frame = bytes::BytesMut::new();
+        let mut frame = Vec::new();
         codec::encode_frame(&head(6), codec::MAX_FRAME_BYTES, &mut frame).unwrap();
         let (mut send, _receive) = connection.open_bi().await.unwrap();
         send.write_all(&frame).await.unwrap();
