Use more keys in the balance example for large regions

With 50,000 keys and exponent 0.9 the hottest key alone has 7.8 times the mean load of 157 workers, so no strategy could be told from another.

--- a/crates/standin/examples/balance.rs
+++ b/crates/standin/examples/balance.rs
@@ -7,7 +7,9 @@
     let workers = std::env::args().nth(1).and_then(|text| text.parse().ok()).unwrap_or(12);
     let minutes = std::env::args().nth(2).and_then(|text| text.parse().ok()).unwrap_or(30);
     let zones = if workers > 30 { 22 } else { 3 };
-    let config = ModelConfig { workers, zones, minutes, ..ModelConfig::default() };
+    // With few keys the hottest one would have several times the load of a worker.
+    let (keys, exponent) = if workers > 30 { (400_000, 0.6) } else { (50_000, 0.9) };
+    let config = ModelConfig { workers, zones, minutes, keys, exponent, ..ModelConfig::default() };
     println!("{workers} workers, {} keys, exponent {}", config.keys, config.exponent);
     println!(
         "scenario  strategy          mean   p99    floor  keys/min load%/min docs/min slices plan max/mean us"
