--- a/crates/control/tests/planner.rs
+++ b/crates/control/tests/planner.rs
@@ -249,7 +249,7 @@
     assert_eq!(document.slice(at).start, hot);
     let next = assignment::SliceKey { slice: at.slice + 1, ..at };
     assert_eq!(document.slice(next).start, key::KeyHash(hot.0 + 1));
-    // The trigger of 10%, three deviations of chance (2.7%) and 1% for idle slices.
+    // The trigger of 10%, three deviations of chance and 1% for idle slices.
     assert!(region.imbalance("orders") < 1.14, "{:?}", region.loads("orders"));
 
     region.keys.pop();
