Send the renewed end of the lease to the upstream

Cause: a request that waited in the queue carried the end of the lease from the moment it arrived, so that an upstream could refuse it although the lease had been renewed. Change: the end is read from the lease when the request leaves. Conclusion: the upstream sees the lease as it is at dispatch.

--- a/crates/node/src/tenure.rs
+++ b/crates/node/src/tenure.rs
@@ -22,7 +22,6 @@
     context: Arc<context::NodeContext>,
     ticket: Option<ownership::WorkTicket>,
     fence: ident::FenceToken,
-    valid_until: time::Instant,
     cancelled: CancellationToken,
 }
 
@@ -31,7 +30,6 @@
         TenureTicket {
             context: Arc::clone(context),
             fence: ticket.fence,
-            valid_until: ticket.valid_until,
             cancelled: context.track_work(ticket.work),
             ticket: Some(ticket),
         }
@@ -54,9 +52,10 @@
         &self.cancelled
     }
 
-    /// When the lease ends unless it is renewed.
+    /// When the lease ends unless it is renewed again.
     pub(crate) fn valid_until(&self) -> time::Instant {
-        self.valid_until
+        let machine = self.context.ownership();
+        self.ticket.as_ref().map_or(time::Instant(0), |ticket| machine.lease_end(ticket))
     }
 }
 
--- a/crates/ownership/src/machine.rs
+++ b/crates/ownership/src/machine.rs
@@ -203,6 +203,12 @@
         entry.is_some_and(|entry| !entry.is_cancelled && self.is_held(now, entry.lease))
     }
 
+    /// End of the lease of a piece of work, with the renewals since it began.
+    pub fn lease_end(&self, ticket: &action::WorkTicket) -> time::Instant {
+        let own = self.leases.get(&ticket.lease);
+        own.and_then(|own| own.holder.valid_until()).unwrap_or(ticket.valid_until)
+    }
+
     /// Gives up all leases for good. Work in flight is cancelled, and peers are told when it has
     /// ended. A later document may name a new generation: call again if it must not be used.
     pub fn release(&mut self, now: time::Instant) -> Vec<action::OwnershipAction> {
--- a/crates/ownership/tests/traps.rs
+++ b/crates/ownership/tests/traps.rs
@@ -59,7 +59,11 @@
         change_id: epoch,
         members: members.collect(),
         leases: (0..4).map(|holder| record(holder, 1)).chain([record(0, 2)]).collect(),
-        classes: vec![assignment::ClassSlices { class: CLASS.into(), slices: slices.collect() }],
+        classes: vec![assignment::ClassSlices {
+            class: CLASS.into(),
+            created: ident::EpochNumber(1),
+            slices: slices.collect(),
+        }],
     }
 }
 
