Pause attempts at a peer that closes connections at once

With TLS 1.3 the connecting side counts a connection as established before the peer has checked its certificate. A node with a refused certificate therefore connected again with each request or datagram: none of 200 requests in a row was held back. The loss of an own connection within 1 s now counts as a failed attempt, so backoff applies; the test requires that more than 100 of 200 are held back.

--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -16,6 +16,9 @@
 /// Longest pause between attempts. An attempt sends up to 3.6 KB, so a lost peer that is probed
 /// all the time costs about 1.2 KB/s.
 const MAX_BACKOFF: time::Duration = time::Duration::from_secs(2);
+/// Life of a connection below which its loss counts as a failed attempt. A peer that refuses this
+/// node's certificate does so only after this side has taken the connection for established.
+const MIN_LIFE: time::Duration = time::Duration::from_secs(1);
 /// Datagrams kept while a connection is being made; the newest are kept.
 const MAX_QUEUED_DATAGRAMS: usize = 8;
 
@@ -33,13 +36,11 @@
     #[default]
     None,
     Running {
-        failures: u32,
         /// Closed when the attempt is over.
         done: channel::Receiver<Infallible>,
         queued: Vec<Bytes>,
     },
     Failed {
-        failures: u32,
         until: time::Instant,
         reason: Arc<str>,
     },
@@ -52,9 +53,16 @@
     /// The one made last is used: a peer that restarted has made a new one.
     newest: Option<Direction>,
     attempt: Attempt,
+    /// Failed attempts since a connection last held.
+    failures: u32,
 }
 
 impl PeerSlot {
+    fn fail(&mut self, now: time::Instant, reason: Arc<str>) {
+        self.failures = self.failures.saturating_add(1);
+        self.attempt = Attempt::Failed { until: now + backoff(self.failures), reason };
+    }
+
     fn connection(&self) -> Option<&Arc<PeerConnection>> {
         let order = match self.newest {
             Some(Direction::Incoming) => [&self.incoming, &self.outgoing],
@@ -101,15 +109,14 @@
         if let Some(connection) = slot.connection() {
             return Route::Connected(Arc::clone(connection));
         }
-        let failures = match &slot.attempt {
+        match &slot.attempt {
             Attempt::Running { done, .. } => return Route::Wait(done.clone()),
-            Attempt::Failed { until, reason, .. } if now < *until => {
+            Attempt::Failed { until, reason } if now < *until => {
                 return Route::Failed(Arc::clone(reason));
             }
-            Attempt::Failed { failures, .. } => *failures,
-            Attempt::None => 0,
-        };
-        slot.attempt = Attempt::Running { failures, done: done(), queued: Vec::new() };
+            Attempt::Failed { .. } | Attempt::None => {}
+        }
+        slot.attempt = Attempt::Running { done: done(), queued: Vec::new() };
         Route::Start
     }
 
@@ -159,18 +166,34 @@
     /// Notes that the running attempt failed.
     pub(crate) fn failed(&mut self, peer: net::SocketAddr, now: time::Instant, reason: Arc<str>) {
         let Some(slot) = self.slots.get_mut(&peer) else { return };
-        let Attempt::Running { failures, .. } = &slot.attempt else { return };
-        let failures = failures.saturating_add(1);
-        let until = now + backoff(failures);
-        slot.attempt = Attempt::Failed { failures, until, reason };
+        if matches!(slot.attempt, Attempt::Running { .. }) {
+            slot.fail(now, reason);
+        }
     }
 
-    /// Takes out a connection that was lost.
-    pub(crate) fn lost(&mut self, peer: net::SocketAddr, connection: &Arc<PeerConnection>) {
+    /// Takes out a connection that was lost after `life`.
+    pub(crate) fn lost(
+        &mut self,
+        peer: net::SocketAddr,
+        connection: &Arc<PeerConnection>,
+        life: time::Duration,
+    ) {
         let Some(slot) = self.slots.get_mut(&peer) else { return };
-        for side in [&mut slot.outgoing, &mut slot.incoming] {
-            if side.as_ref().is_some_and(|entry| Arc::ptr_eq(entry, connection)) {
-                *side = None;
+        let is_lost = |side: &Option<Arc<PeerConnection>>| {
+            side.as_ref().is_some_and(|entry| Arc::ptr_eq(entry, connection))
+        };
+        if is_lost(&slot.incoming) {
+            slot.incoming = None;
+        }
+        if is_lost(&slot.outgoing) {
+            slot.outgoing = None;
+            if life >= MIN_LIFE {
+                slot.failures = 0;
+            } else if matches!(slot.attempt, Attempt::None) {
+                slot.fail(
+                    time::Instant::now(),
+                    Arc::from("the peer closed the connection at once"),
+                );
             }
         }
         let is_unused = slot.outgoing.is_none() && slot.incoming.is_none();
--- a/crates/wire/src/transport.rs
+++ b/crates/wire/src/transport.rs
@@ -324,8 +324,9 @@
         for datagram in queued {
             connection.send_datagram(datagram);
         }
+        let started = time::Instant::now();
         connection.serve(&self.events, &self.dropped_datagrams).await;
-        self.peers().lost(peer, &connection);
+        self.peers().lost(peer, &connection, started.elapsed());
     }
 
     /// Completes the handshake of a connecting peer and serves it.
--- a/crates/wire/tests/failures.rs
+++ b/crates/wire/tests/failures.rs
@@ -263,6 +263,32 @@
     });
 }
 
+/// A node whose certificate is refused must not connect again with every request: each handshake
+/// costs both sides a signature.
+#[test]
+fn refused_connections_are_not_repeated_at_once() {
+    run(async {
+        let ours = identity::TrialAuthority::new().unwrap();
+        let theirs = identity::TrialAuthority::new().unwrap();
+        let a = bind(ours.issue("a").unwrap());
+        // The server's own certificate is accepted, but it doesn't accept those of this authority.
+        let mut pem = ours.issue_pem("b").unwrap();
+        pem.authority = theirs.issue_pem("b").unwrap().authority;
+        let b = bind(pem.identity().unwrap());
+        let mut paused = 0;
+        for _ in 0..200 {
+            match a.open_stream(b.local_address(), &head(1)).await {
+                Ok((_writer, mut reader)) => {
+                    assert!(reader.receive::<generated::BodyChunk>().await.is_err());
+                }
+                Err(error) => paused += u32::from(!error.may_have_reached_peer()),
+            }
+        }
+        assert!(paused > 100, "{paused}");
+        assert!(b.events().is_empty());
+    });
+}
+
 /// A forgotten peer's open stream must still end properly; then the connection closes.
 #[test]
 fn forgetting_a_peer_cuts_no_stream() {
