--- a/crates/wire/examples/probe.rs
+++ b/crates/wire/examples/probe.rs
@@ -1,6 +1,6 @@
 //! Measures the transport on loopback: CPU and latency of echo streams, memory of idle connections.
 //!
-//! `probe echo CONCURRENCY REQUESTS` or `probe idle CONNECTIONS`. Both endpoints run in this
+//! `probe echo CONCURRENCY REQUESTS`, `probe idle CONNECTIONS` or `probe download MEGABYTES`. Both endpoints run in this
 //! process, so the figures cover both sides of a request or connection.
 
 #![allow(clippy::unwrap_used, clippy::panic)]
@@ -10,7 +10,7 @@
 use std::time;
 
 use cornelridge_wire::transport::{EndpointSettings, NodeEndpoint, PeerEvent};
-use cornelridge_wire::{generated, identity};
+use cornelridge_wire::{codec, generated, identity};
 use generated::stream_head::Kind;
 
 /// Bytes of body in each request and answer.
@@ -24,7 +24,10 @@
     match arguments.first().map(String::as_str) {
         Some("echo") => smol::block_on(smol::spawn(echo(number(1), number(2)))),
         Some("idle") => smol::block_on(smol::spawn(idle(number(1)))),
-        _ => panic!("usage: probe echo CONCURRENCY REQUESTS | probe idle CONNECTIONS"),
+        Some("download") => smol::block_on(smol::spawn(download(number(1)))),
+        _ => {
+            panic!("usage: probe echo CONCURRENCY REQUESTS | idle CONNECTIONS | download MEGABYTES")
+        }
     }
 }
 
@@ -149,6 +152,43 @@
     }
 }
 
+/// Measures one large answer and the memory that it takes on both sides together.
+async fn download(megabytes: u64) {
+    let authority = identity::TrialAuthority::new().unwrap();
+    let (client, server) = (bind(&authority, "a"), bind(&authority, "b"));
+    let (_writer, mut reader) = client.open_stream(server.local_address(), &head(1)).await.unwrap();
+    let PeerEvent::Stream { mut writer, reader: _request, .. } =
+        server.events().recv().await.unwrap()
+    else {
+        panic!("not a stream");
+    };
+    let chunks = megabytes * 1_000_000 / codec::MAX_CHUNK_BYTES as u64;
+    let sending = smol::spawn(async move {
+        for _ in 0..chunks {
+            let data = vec![7; codec::MAX_CHUNK_BYTES];
+            writer.send(&generated::BodyChunk { data, last: false }).await.unwrap();
+        }
+        writer.finish().await.unwrap();
+    });
+    let (cpu, started, before) = (cpu_time(), time::Instant::now(), resident_kilobytes());
+    let (mut received, mut most, mut number) = (0_u64, before, 0_u64);
+    while let Some(chunk) = reader.receive::<generated::BodyChunk>().await.unwrap() {
+        received += chunk.data.len() as u64;
+        number += 1;
+        if number.is_multiple_of(64) {
+            most = most.max(resident_kilobytes());
+        }
+    }
+    sending.await;
+    let (elapsed, cpu) = (started.elapsed().as_secs_f64(), (cpu_time() - cpu).as_secs_f64());
+    println!(
+        "{received} bytes: {:.0} MB/s, CPU {:.1} ms for each MB, at most {} KiB more memory",
+        received as f64 / 1e6 / elapsed,
+        cpu * 1e9 / received as f64,
+        most - before,
+    );
+}
+
 /// CPU time of all threads of this process.
 fn cpu_time() -> time::Duration {
     let tasks = std::fs::read_dir("/proc/self/task").unwrap();
