Carry bodies and header values between nodes without copies

Cause: perf of node processes under the path scenario showed 27% of the time in libc, most of it in malloc, free and memmove.

--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -4,6 +4,7 @@
 use std::pin;
 
 use bytes::{Bytes, BytesMut};
+use cornelridge_wire::codec;
 use cornelridge_wire::generated;
 use cornelridge_wire::transport;
 use futures_lite::{future, stream};
@@ -11,9 +12,6 @@
 use hyper::body::{self, Body};
 use thiserror::Error;
 
-/// Largest chunk sent to another node in one frame, in bytes; a frame holds 64 KiB with its head.
-const MAX_CHUNK_BYTES: usize = 60 * 1024;
-
 /// A body that did not arrive whole.
 #[derive(Clone, Debug, Error)]
 #[error("body was cut off: {detail}; send the request again if its outcome allows it")]
@@ -115,7 +113,7 @@
     loop {
         match reader.receive::<generated::BodyChunk>().await {
             Ok(Some(chunk)) if chunk.data.is_empty() && !chunk.last => continue,
-            Ok(Some(chunk)) => return Ok((Bytes::from(chunk.data), chunk.last)),
+            Ok(Some(chunk)) => return Ok((chunk.data, chunk.last)),
             Ok(None) => {
                 let detail = "the other node ended the stream early".to_owned();
                 return Err(BodyCutError { detail });
@@ -159,15 +157,15 @@
         };
         let Some(mut data) = next else { break };
         while !data.is_empty() {
-            let piece = data.split_to(data.len().min(MAX_CHUNK_BYTES));
-            let chunk = generated::BodyChunk { data: piece.to_vec(), last: false };
+            let piece = data.split_to(data.len().min(codec::MAX_CHUNK_BYTES));
+            let chunk = generated::BodyChunk { data: piece, last: false };
             writer.queue(&chunk).map_err(cut)?;
-            if chunk.data.len() == MAX_CHUNK_BYTES {
+            if chunk.data.len() == codec::MAX_CHUNK_BYTES {
                 writer.flush().await.map_err(cut)?;
             }
         }
     }
-    writer.queue(&generated::BodyChunk { data: Vec::new(), last: true }).map_err(cut)?;
+    writer.queue(&generated::BodyChunk { data: Bytes::new(), last: true }).map_err(cut)?;
     writer.finish().await.map_err(cut)
 }
 
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -1,5 +1,6 @@
 //! Headers that the system reads, adds and removes.
 
+use bytes::Bytes;
 use cornelridge_wire::generated;
 use http::header;
 use http::{HeaderMap, HeaderName, HeaderValue};
@@ -70,7 +71,7 @@
         .iter()
         .map(|(name, value)| generated::Header {
             name: name.as_str().to_owned(),
-            value: value.as_bytes().to_vec(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
         })
         .collect()
 }
@@ -80,7 +81,7 @@
     let mut map = HeaderMap::with_capacity(headers.len());
     for entry in headers {
         let name = HeaderName::from_bytes(entry.name.as_bytes());
-        let value = HeaderValue::from_bytes(&entry.value);
+        let value = HeaderValue::from_maybe_shared(entry.value.clone());
         if let (Ok(name), Ok(value)) = (name, value)
             && is_passed_on(&name)
         {
--- a/crates/node/src/replication.rs
+++ b/crates/node/src/replication.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use cornelridge_model::assignment;
 use cornelridge_model::ident;
 use cornelridge_model::key;
@@ -236,7 +237,7 @@
 }
 
 fn header_to_wire((name, value): &(Arc<str>, Vec<u8>)) -> generated::Header {
-    generated::Header { name: name.to_string(), value: value.clone() }
+    generated::Header { name: name.to_string(), value: Bytes::copy_from_slice(value) }
 }
 
 fn from_wire(record: generated::Record) -> Option<records::Record> {
@@ -251,7 +252,7 @@
         0 => None,
         status => Some(records::StoredAnswer {
             status,
-            headers: headers.map(|header| (header.name.into(), header.value)).collect(),
+            headers: headers.map(|header| (header.name.into(), header.value.to_vec())).collect(),
             body: record.has_body.then_some(record.body),
         }),
     };
--- a/crates/wire/examples/probe.rs
+++ b/crates/wire/examples/probe.rs
@@ -43,7 +43,7 @@
         class: "quote-desk".to_owned(),
         method: "GET".to_owned(),
         path: "/item".to_owned(),
-        key: id.to_le_bytes().to_vec(),
+        key: id.to_le_bytes().to_vec().into(),
         has_body: true,
         ..Default::default()
     };
@@ -70,7 +70,9 @@
 async fn request(client: &NodeEndpoint, server: &NodeEndpoint, id: u64) {
     let to = server.local_address();
     let (mut writer, mut reader) = client.open_stream_queued(to, &head(id)).await.unwrap();
-    writer.queue(&generated::BodyChunk { data: vec![id as u8; BODY_BYTES], last: true }).unwrap();
+    writer
+        .queue(&generated::BodyChunk { data: vec![id as u8; BODY_BYTES].into(), last: true })
+        .unwrap();
     writer.finish().await.unwrap();
     reader.receive::<generated::ResponseHead>().await.unwrap().unwrap();
     let body: generated::BodyChunk = reader.receive().await.unwrap().unwrap();
@@ -166,7 +168,7 @@
     let sending = smol::spawn(async move {
         for _ in 0..chunks {
             let data = vec![7; codec::MAX_CHUNK_BYTES];
-            writer.send(&generated::BodyChunk { data, last: false }).await.unwrap();
+            writer.send(&generated::BodyChunk { data: data.into(), last: false }).await.unwrap();
         }
         writer.finish().await.unwrap();
     });
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -182,8 +182,8 @@
 pub struct Header {
     #[prost(string, tag = "1")]
     pub name: ::prost::alloc::string::String,
-    #[prost(bytes = "vec", tag = "2")]
-    pub value: ::prost::alloc::vec::Vec<u8>,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub value: ::prost::bytes::Bytes,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RequestHead {
@@ -197,8 +197,8 @@
     pub path: ::prost::alloc::string::String,
     #[prost(message, repeated, tag = "5")]
     pub headers: ::prost::alloc::vec::Vec<Header>,
-    #[prost(bytes = "vec", tag = "6")]
-    pub key: ::prost::alloc::vec::Vec<u8>,
+    #[prost(bytes = "bytes", tag = "6")]
+    pub key: ::prost::bytes::Bytes,
     #[prost(string, tag = "7")]
     pub idempotency_key: ::prost::alloc::string::String,
     #[prost(string, tag = "8")]
@@ -262,8 +262,8 @@
 /// One piece of a body; the last one has `last` set, so that a cut stream is told from a whole one.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct BodyChunk {
-    #[prost(bytes = "vec", tag = "1")]
-    pub data: ::prost::alloc::vec::Vec<u8>,
+    #[prost(bytes = "bytes", tag = "1")]
+    pub data: ::prost::bytes::Bytes,
     #[prost(bool, tag = "2")]
     pub last: bool,
 }
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -6,7 +6,7 @@
 const SEEDS: [u64; 4] = [1, 7, 42, 4711];
 
 fn chunk(length: usize) -> generated::BodyChunk {
-    generated::BodyChunk { data: vec![7; length], last: length.is_multiple_of(2) }
+    generated::BodyChunk { data: vec![7; length].into(), last: length.is_multiple_of(2) }
 }
 
 /// Pieces of any size must give the frames that were encoded, each once and in order.
--- a/crates/wire/tests/failures.rs
+++ b/crates/wire/tests/failures.rs
@@ -137,7 +137,7 @@
         random.shuffle(&mut readers);
         for (id, (_writer, mut reader)) in readers {
             match reader.receive::<generated::BodyChunk>().await {
-                Ok(answer) => assert_eq!(answer.unwrap().data, id.to_le_bytes()),
+                Ok(answer) => assert_eq!(answer.unwrap().data[..], id.to_le_bytes()),
                 Err(error) => assert_eq!(id % 7, 0, "{error}"),
             }
             let end = reader.receive::<generated::BodyChunk>().await;
@@ -217,8 +217,9 @@
         let pieces: u64 = 64_000_000 / codec::MAX_CHUNK_BYTES as u64;
         let sent = async {
             for number in 0..pieces {
-                let mut piece = chunk(vec![0; codec::MAX_CHUNK_BYTES], number + 1 == pieces);
-                piece.data[..8].copy_from_slice(&number.to_le_bytes());
+                let mut data = vec![0; codec::MAX_CHUNK_BYTES];
+                data[..8].copy_from_slice(&number.to_le_bytes());
+                let piece = chunk(data, number + 1 == pieces);
                 answer.send(&piece).await.unwrap();
             }
             answer.finish().await.unwrap();
--- a/crates/wire/tests/support/mod.rs
+++ b/crates/wire/tests/support/mod.rs
@@ -55,7 +55,7 @@
 }
 
 pub(crate) fn chunk(data: Vec<u8>, last: bool) -> generated::BodyChunk {
-    generated::BodyChunk { data, last }
+    generated::BodyChunk { data: data.into(), last }
 }
 
 pub(crate) async fn next_stream(
--- a/tools/generate/src/main.rs
+++ b/tools/generate/src/main.rs
@@ -10,7 +10,10 @@
     let files = protox::compile(["node.proto"], [&proto])?;
     let output = root.join("target/generated");
     fs::create_dir_all(&output)?;
-    prost_build::Config::new().out_dir(&output).compile_fds(files)?;
+    prost_build::Config::new()
+        .bytes([".cornelridge.node.BodyChunk", ".cornelridge.node.Header", ".cornelridge.node.RequestHead"])
+        .out_dir(&output)
+        .compile_fds(files)?;
     fs::copy(output.join("cornelridge.node.rs"), root.join("crates/wire/src/generated.rs"))?;
     Ok(())
 }
