Smooth loads over 10 s instead of 20 s

After hot keys change, the planner reacts only when the smoothed rates show it.

SMOOTHING is 10 s; the allowance for chance grows with it by itself.

--- a/crates/control/src/planner/loads.rs
+++ b/crates/control/src/planner/loads.rs
@@ -8,7 +8,7 @@
 
 /// Time constant of the smoothing: shorter than the changes of hot keys, which take minutes, and
 /// long enough that a few seconds of chance move nothing.
-pub(crate) const SMOOTHING: time::Duration = time::Duration::from_secs(20);
+pub(crate) const SMOOTHING: time::Duration = time::Duration::from_secs(10);
 /// Most keys of one class whose rate is followed.
 const MAX_HOT_KEYS: usize = 512;
 /// A key that no report has named for this long is forgotten.
