Double the price of moved load for least-downtime

A low price lets the planner spend its budget on moves that save almost nothing, and the useful ones then wait for the next minute.

churn_weight of least-downtime is 0.1 instead of 0.05.

--- a/crates/control/src/planner/balance.rs
+++ b/crates/control/src/planner/balance.rs
@@ -50,7 +50,7 @@
             class::BalancePreference::LeastDowntime => BalanceTargets {
                 trigger: 0.10,
                 rest: 0.05,
-                churn_weight: 0.05,
+                churn_weight: 0.1,
                 share_per_minute: 0.05,
                 residence: time::Duration::from_secs(60),
             },
