Repeat an unacknowledged renewal after 100 ms

With one guard lost, a lease needs both others, and at one renewal each 200 ms two datagrams lost in a row let it lapse. A renewal that isn't acknowledged is now repeated after 100 ms to guards that answered within the term.

--- a/crates/ownership/src/holder.rs
+++ b/crates/ownership/src/holder.rs
@@ -87,8 +87,13 @@
         if self.is_ended {
             return None;
         }
-        let interval = self.interval(now);
+        let is_renewable = self.is_renewable(now);
         let is_due = |contact: &&mut GuardContact| {
+            let interval = match is_renewable {
+                true if contact.is_late(now) => timing::RETRY_INTERVAL,
+                true => timing::RENEW_INTERVAL,
+                false => timing::SLOW_RENEW_INTERVAL,
+            };
             !contact.refused && contact.sent.is_none_or(|sent| now.since(sent) >= interval)
         };
         let mut due = Vec::new();
@@ -132,12 +137,12 @@
         self.is_ended |= refused >= majority(self.guards.len());
     }
 
-    fn interval(&self, now: time::Instant) -> time::Duration {
-        let is_renewable = match self.until {
+    /// Whether the lease is held, or so new that its guards may not know it yet.
+    fn is_renewable(&self, now: time::Instant) -> bool {
+        match self.until {
             Some(until) => now < until,
             None => now.since(self.created) <= timing::FIRST_CONTACT,
-        };
-        if is_renewable { timing::RENEW_INTERVAL } else { timing::SLOW_RENEW_INTERVAL }
+        }
     }
 
     fn update(&mut self) {
@@ -149,6 +154,14 @@
     }
 }
 
+impl GuardContact {
+    /// Whether the latest renewal isn't acknowledged although the guard answered within the term.
+    fn is_late(&self, now: time::Instant) -> bool {
+        let is_answering = |sent| now.since(sent) < timing::LEASE_TERM;
+        self.sent > self.acknowledged && self.acknowledged.is_some_and(is_answering)
+    }
+}
+
 /// Size of the smallest majority of a guard set; two majorities have a guard in common.
 pub(crate) fn majority(guards: usize) -> usize {
     guards / 2 + 1
--- a/crates/ownership/src/timing.rs
+++ b/crates/ownership/src/timing.rs
@@ -6,6 +6,9 @@
 pub const LEASE_TERM: time::Duration = time::Duration::from_millis(600);
 /// Interval between renewals.
 pub const RENEW_INTERVAL: time::Duration = time::Duration::from_millis(200);
+/// Time after which a renewal is repeated to a guard that normally answers. At `RENEW_INTERVAL` two
+/// datagrams lost in a row let a lease lapse that has only two guards left.
+pub const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// Interval between renewals of a lease that has lapsed. It leaves guards time to vouch, or else a
 /// holder that sends but receives nothing would keep a lease that it can't use.
 pub const SLOW_RENEW_INTERVAL: time::Duration = time::Duration::from_millis(800);
--- a/crates/ownership/tests/traps.rs
+++ b/crates/ownership/tests/traps.rs
@@ -161,6 +161,25 @@
     assert_eq!(holder.valid_until(), Some(at(1_800)));
 }
 
+/// With one guard lost, each of the two others is needed: two lost datagrams must not end the lease.
+#[test]
+fn an_unacknowledged_renewal_is_repeated_early() {
+    let mut holder = LeaseHolder::new(at(0), lease(OWNER), [SECOND, THIRD, FOURTH]);
+    let (sequence, _) = holder.renew(at(1_000)).unwrap();
+    [SECOND, THIRD].iter().for_each(|guard| holder.acknowledge(*guard, sequence));
+    assert_eq!(holder.renew(at(1_199)), None, "a guard that never answered isn't hurried");
+    let (sequence, guards) = holder.renew(at(1_200)).unwrap();
+    assert_eq!(guards, [SECOND, THIRD, FOURTH]);
+    holder.acknowledge(SECOND, sequence);
+    for now in [1_300, 1_400, 1_500] {
+        let (_, guards) = holder.renew(at(now)).unwrap();
+        assert!(guards.contains(&THIRD), "{guards:?} at {now}");
+    }
+    // Once the lease has lapsed, guards are left time to vouch.
+    assert_eq!(holder.valid_until(), Some(at(1_600)));
+    assert_eq!(holder.renew(at(1_650)), None);
+}
+
 #[test]
 fn a_late_holder_renews_again_unless_a_majority_refuses() {
     let mut holder = LeaseHolder::new(at(0), lease(OWNER), [SECOND, THIRD, FOURTH]);
