--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod limit;
 pub mod meter;
 pub mod quarantine;
+mod queue;
 pub mod retry;
 pub mod selection;
 mod service;
