--- a/crates/standin/src/load_model/driver.rs
+++ b/crates/standin/src/load_model/driver.rs
@@ -392,9 +392,7 @@
                     self.conclude(evicted.id.0 as usize, end);
                 }
             }
-            admission::AdmissionDecision::Refused(_) => {
-                self.conclude(attempt, AttemptEnd::Refused { everywhere: false });
-            }
+            admission::AdmissionDecision::Refused(refusal) => self.refuse(attempt, refusal),
         }
     }
 
@@ -457,8 +455,9 @@
         if record.done || record.attempts > 1 {
             return;
         }
+        let suspicion = self.registries[record.ingress].decide(self.now, record.fingerprint);
         let state = &mut self.ingress[record.ingress][record.class];
-        if state.hedge.try_hedge(self.now, record.deadline, &mut state.budget) {
+        if state.hedge.try_hedge(self.now, record.deadline, suspicion, &mut state.budget) {
             self.send(job);
         }
     }
@@ -553,14 +552,19 @@
         for action in actions {
             match action {
                 admission::AdmissionAction::Dispatch(id) => self.dispatch_queued(id.0 as usize),
-                admission::AdmissionAction::Refuse(id, _) => {
-                    let end = AttemptEnd::Refused { everywhere: false };
-                    self.conclude(id.0 as usize, end);
+                admission::AdmissionAction::Refuse(id, refusal) => {
+                    self.refuse(id.0 as usize, refusal);
                 }
             }
         }
     }
 
+    /// A suspect isn't sent to a second worker, where a copy of it may run at the same time.
+    fn refuse(&mut self, attempt: usize, refusal: admission::AdmissionRefusal) {
+        let everywhere = refusal.reason == admission::RefusalReason::AloneUnavailable;
+        self.conclude(attempt, AttemptEnd::Refused { everywhere });
+    }
+
     fn dispatch_queued(&mut self, attempt: usize) {
         let ModelAttempt { job, worker, .. } = self.attempts[attempt];
         let decision = self.registries[worker].decide(self.now, self.jobs[job].fingerprint);
@@ -651,26 +655,27 @@
         self.apply(actions);
     }
 
+    /// Sends each ingress node the load of each worker, as the class of the selector sees it.
     fn hint(&mut self) {
         self.at(self.now + HINT_PERIOD, Event::Hint);
-        for worker in 0..self.upstreams.len() {
-            let queue = &self.queues[worker];
-            let lies = self.upstreams[worker].fault(self.now).map(|fault| fault.kind)
-                == Some(FaultKind::LyingHints);
-            let in_flight = if lies { 0 } else { queue.running() as u32 };
-            let hint = selection::WorkerHint {
-                in_flight,
-                queued: if lies { 0 } else { queue.queued() as u32 },
-                limit: queue.limit(self.now),
-                queue_delay: match lies {
-                    true => time::Duration::ZERO,
-                    false => queue.expected_wait(self.now, u8::MAX),
-                },
-                accepting: lies || self.upstreams[worker].up,
-            };
+        for (worker, queue) in self.queues.iter().enumerate() {
+            let upstream = &self.upstreams[worker];
+            let fault = upstream.fault(self.now).map(|fault| fault.kind);
             let id = ident::IncarnationId(worker as u64);
-            for state in self.ingress.iter_mut().flatten() {
-                state.selector.hint(self.now, id, hint);
+            for (place, config) in self.model.classes.iter().enumerate() {
+                let rank = config.yield_rank;
+                let truth = selection::WorkerHint {
+                    in_flight: queue.running() as u32,
+                    queued: queue.queued_before(rank) as u32,
+                    limit: queue.limit(self.now),
+                    queue_delay: queue.expected_wait(self.now, rank),
+                    accepting: upstream.up,
+                };
+                let idle = selection::WorkerHint { accepting: true, ..Default::default() };
+                let hint = if fault == Some(FaultKind::LyingHints) { idle } else { truth };
+                for states in &mut self.ingress {
+                    states[place].selector.hint(self.now, id, hint);
+                }
             }
         }
     }
