Test ownership over real sockets through losses and returns

Cause: ownership was tested on the state machines only; nothing checked what upstreams execute while real nodes lose their process, upstream or store.

After each loss every key must be answered again, no answer may be wrong, and the recorded executions must show one owner at a time under fences that rise from owner to owner.

--- /dev/null
+++ b/crates/standin/tests/support/mod.rs
@@ -0,0 +1,296 @@
+//! Small deployments over real sockets, single calls, and checks of what the upstreams executed.
+
+#![allow(dead_code)]
+
+use std::collections::HashMap;
+use std::net;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time;
+
+use bytes::Bytes;
+use cornelridge_model::ident::FenceToken;
+use cornelridge_standin::caller::{ArrivalMode, CallOutcome, LoadReport, LoadSettings};
+use cornelridge_standin::deployment::{ClassDeployment, Deployment};
+use cornelridge_standin::mesh::{Mesh, UpstreamTuning};
+use cornelridge_standin::upstream::{Execution, ExecutionEnd, UpstreamServer, UpstreamSettings};
+use cornelridge_standin::{caller, host, payload};
+use futures_lite::future;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use smol_hyper::rt::FuturesIo;
+use tokio_util::sync::CancellationToken;
+
+/// Far above any expected wait; a test that reaches it has hung.
+pub(crate) const LIMIT: time::Duration = time::Duration::from_secs(90);
+/// Pause between two looks at a condition.
+const POLL: time::Duration = time::Duration::from_millis(5);
+/// Keys of the load, named as the sample of `Mesh::served`.
+pub(crate) const KEYS: u64 = 64;
+/// Class divided by key.
+pub(crate) const KEYED: &str = "quote-desk";
+/// Non-idempotent class.
+pub(crate) const ONCE: &str = "payout-hub";
+/// Class of downloads.
+pub(crate) const BULK: &str = "lot-vault";
+
+/// Nodes of all tests of a process share one executor thread; two deployments at once would make
+/// each other's leases lapse.
+static DEPLOYMENT: Mutex<()> = Mutex::new(());
+
+/// Runs one test at a time and ends one that hangs.
+pub(crate) fn run<T>(test: impl Future<Output = T>) -> T {
+    let _alone = DEPLOYMENT.lock().unwrap_or_else(PoisonError::into_inner);
+    let limit = async {
+        smol::Timer::after(2 * LIMIT).await;
+        panic!("the test waited {:?} for an event", 2 * LIMIT);
+    };
+    smol::block_on(future::or(test, limit))
+}
+
+/// A deployment of one class; the deadline is long, so that a slow machine changes no verdict.
+pub(crate) fn single(name: &str, workers: u32) -> Deployment {
+    let mut deployment = Deployment::bogota();
+    deployment.classes.retain(|class| &*class.config.name == name);
+    for class in &mut deployment.classes {
+        class.workers = workers;
+        class.cold_start = time::Duration::ZERO;
+        class.config.deadline_ms = 20_000;
+        class.config.target_ms = 1_000;
+    }
+    deployment
+}
+
+/// Changes a class of a deployment.
+pub(crate) fn with(
+    mut deployment: Deployment,
+    change: impl Fn(&mut ClassDeployment),
+) -> Deployment {
+    deployment.classes.iter_mut().for_each(change);
+    deployment
+}
+
+/// Starts a deployment and waits until every key is served.
+pub(crate) async fn start(deployment: Deployment) -> Mesh {
+    start_with(deployment, |_| {}).await
+}
+
+/// Starts a deployment with other settings of the upstreams.
+pub(crate) async fn start_with(deployment: Deployment, tune: UpstreamTuning) -> Mesh {
+    let mesh = Mesh::start(deployment, tune).await.unwrap();
+    mesh.ready(LIMIT).await.unwrap();
+    mesh
+}
+
+/// Waits for a condition.
+pub(crate) async fn until(what: &str, mut condition: impl FnMut() -> bool) {
+    let deadline = time::Instant::now() + LIMIT;
+    while !condition() {
+        assert!(time::Instant::now() < deadline, "waited {LIMIT:?} until {what}");
+        smol::Timer::after(POLL).await;
+    }
+}
+
+/// Open load that ends when a scenario has ended.
+pub(crate) async fn under_load<T>(
+    standins: &host::StandinHost,
+    settings: LoadSettings,
+    scenario: impl Future<Output = T>,
+) -> (LoadReport, T) {
+    let cancel = CancellationToken::new();
+    let load = caller::run(standins, settings, &cancel);
+    let scenario = async {
+        let result = scenario.await;
+        cancel.cancel();
+        result
+    };
+    let (report, result) = future::zip(load, scenario).await;
+    (report.unwrap(), result)
+}
+
+/// Steady load over the keys.
+pub(crate) fn steady(mesh: &Mesh, class: &str) -> LoadSettings {
+    LoadSettings {
+        arrival: ArrivalMode::Open(200.0),
+        total: 1_000_000,
+        duration: 4 * LIMIT,
+        timeout: LIMIT,
+        connections: 12,
+        keys: KEYS,
+        ..LoadSettings::new(mesh.caller_addresses(), class)
+    }
+}
+
+/// No caller may get an answer to another request, a part of one, or an error without an outcome.
+pub(crate) fn assert_truthful(report: &LoadReport) {
+    assert_eq!(report.count(CallOutcome::Wrong), 0, "{:?}", report.failed);
+    assert_eq!(report.count(CallOutcome::Unstated), 0, "{:?}", report.failed);
+    assert_eq!(report.count(CallOutcome::TimedOut), 0, "{:?}", report.failed);
+}
+
+/// An answer, whole or cut.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) headers: http::HeaderMap,
+    pub(crate) body: Vec<u8>,
+    pub(crate) is_whole: bool,
+}
+
+impl Reply {
+    pub(crate) fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+    }
+
+    pub(crate) fn outcome(&self) -> &str {
+        self.header("cornelridge-outcome")
+    }
+
+    pub(crate) fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// Kind of the error in the body.
+    pub(crate) fn error(&self) -> String {
+        self.json()["error"].as_str().unwrap_or_default().to_owned()
+    }
+
+    /// Whether this is the whole answer with the content that belongs to an echo.
+    pub(crate) fn is_answer_to(&self, echo: u64) -> bool {
+        let is_echo = self.header(payload::ECHO_HEADER) == echo.to_string();
+        let is_content = payload::is_content(echo, 0, &self.body);
+        self.status == 200 && self.is_whole && is_echo && is_content
+    }
+}
+
+/// A request without a body.
+pub(crate) fn get(class: &str, headers: &[(&str, &str)]) -> http::Request<Full<Bytes>> {
+    let mut builder = http::Request::get(format!("/{class}/item")).header("host", "standin");
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    builder.body(Full::default()).unwrap()
+}
+
+/// Sends one request on a connection of its own; `None` without any answer.
+pub(crate) async fn call(
+    target: net::SocketAddr,
+    request: http::Request<Full<Bytes>>,
+) -> Option<Reply> {
+    let stream = smol::net::TcpStream::connect(target).await.ok()?;
+    let (mut sender, connection) = http1::handshake(FuturesIo::new(stream)).await.ok()?;
+    let exchange = async {
+        let response = sender.send_request(request).await.ok()?;
+        let (parts, mut incoming) = response.into_parts();
+        let (mut body, mut is_whole) = (Vec::new(), true);
+        while let Some(frame) = incoming.frame().await {
+            match frame {
+                Ok(frame) => body.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new())),
+                Err(_) => {
+                    is_whole = false;
+                    break;
+                }
+            }
+        }
+        Some(Reply { status: parts.status.as_u16(), headers: parts.headers, body, is_whole })
+    };
+    let driven = async {
+        let _ = connection.await;
+        future::pending().await
+    };
+    future::or(exchange, driven).await
+}
+
+/// Every key must be answered at last, each time with its own answer.
+pub(crate) async fn every_key_answered(mesh: &Mesh, class: &str, first_echo: u64) {
+    let targets = mesh.caller_addresses();
+    let deadline = time::Instant::now() + LIMIT;
+    for key in 0..KEYS {
+        let echo = first_echo + key;
+        let target = targets[key as usize % targets.len()];
+        let (key, text) = (format!("key-{key}"), echo.to_string());
+        loop {
+            let headers = [("cornelridge-key", &*key), (payload::ECHO_HEADER, &*text)];
+            let reply = call(target, get(class, &headers)).await;
+            if reply.as_ref().is_some_and(|reply| reply.is_answer_to(echo)) {
+                break;
+            }
+            let is_error = reply.as_ref().is_none_or(|reply| reply.status >= 500);
+            assert!(is_error, "wrong answer for {key}: {reply:?}");
+            assert!(time::Instant::now() < deadline, "{key} isn't served: {reply:?}");
+            smol::Timer::after(POLL).await;
+        }
+    }
+}
+
+/// Executions of all upstreams with the number of their host, also of upstreams taken out.
+pub(crate) fn executions(
+    mesh: &Mesh,
+    replaced: &[(usize, UpstreamServer)],
+) -> Vec<(usize, Execution)> {
+    let running = mesh.hosts.iter().enumerate().map(|(host, entry)| (host, &entry.upstream));
+    let replaced = replaced.iter().map(|(host, upstream)| (*host, upstream));
+    let of = |(host, upstream): (usize, &UpstreamServer)| {
+        upstream.executions().into_iter().map(move |execution| (host, execution))
+    };
+    let mut all: Vec<_> = running.chain(replaced).flat_map(of).collect();
+    all.sort_by_key(|(_, execution)| execution.started);
+    all
+}
+
+/// Number of executions so far.
+pub(crate) fn executed(mesh: &Mesh) -> u64 {
+    mesh.hosts.iter().map(|host| host.upstream.counts().executed).sum()
+}
+
+/// Checks that each key was executed at one host at a time, under fences that rise from one host
+/// to the next.
+pub(crate) fn assert_one_owner(executions: &[(usize, Execution)]) {
+    let mut keys: HashMap<Arc<str>, Vec<&(usize, Execution)>> = HashMap::new();
+    for entry in executions {
+        let key = entry.1.key.clone().or_else(|| entry.1.idempotency_key.clone());
+        keys.entry(key.unwrap()).or_default().push(entry);
+    }
+    for (key, entries) in &keys {
+        let mut highest: Option<(FenceToken, usize)> = None;
+        let mut finished: HashMap<usize, time::Instant> = HashMap::new();
+        for (host, execution) in entries {
+            let fence = execution.fence.unwrap();
+            if let Some((seen, owner)) = highest
+                && owner != *host
+            {
+                assert!(fence > seen, "{key}: {fence} at host {host} after {seen} at {owner}");
+            }
+            if highest.is_none_or(|(seen, _)| fence >= seen) {
+                highest = Some((fence, *host));
+            }
+            let others = finished.iter().filter(|(other, _)| *other != host);
+            for (other, ended) in others {
+                assert!(
+                    *ended <= execution.started,
+                    "{key} ran at host {other} until after it had begun at host {host}: {entries:?}"
+                );
+            }
+            if let (ExecutionEnd::Finished, Some(ended)) = (execution.end, execution.ended) {
+                let last = finished.entry(*host).or_insert(ended);
+                *last = ended.max(*last);
+            }
+        }
+    }
+}
+
+/// Starts a node under the name of a lost one, with a new upstream beside it.
+pub(crate) async fn replace_host(mesh: &mut Mesh, host: usize) -> (usize, UpstreamServer) {
+    let plan = mesh.hosts[host].plan.clone();
+    let node = mesh.start_node(&plan).await.unwrap();
+    let before = mesh.hosts[host].upstream.settings().clone();
+    let settings = UpstreamSettings { announce_to: node.announce_address, ..before };
+    let upstream = UpstreamServer::start(&mesh.standins, settings).unwrap();
+    mesh.hosts[host].node = Some(node);
+    (host, std::mem::replace(&mut mesh.hosts[host].upstream, upstream))
+}
+
+/// Whether a host serves at least one key of the sample.
+pub(crate) fn serves_any(mesh: &Mesh, host: usize, class: &str) -> bool {
+    let Some(node) = mesh.hosts[host].node.as_ref() else { return false };
+    (0..KEYS).any(|key| node.serves(class, format!("key-{key}").as_bytes()))
+}
