State that a fence covers one key

Cause: the operators' page told upstreams to remember the highest fence that they have seen, without a scope, and the stand-in upstream compared all requests without a key under one fence. Slices of one upstream have different epochs, so an upstream that follows the page refuses valid requests for good.

--- a/crates/standin/tests/upstream.rs
+++ b/crates/standin/tests/upstream.rs
@@ -87,6 +87,31 @@
     });
 }
 
+/// A fence covers one slice: a lower one must be accepted for another key, also where the
+/// idempotency key takes the place of the key.
+#[test]
+fn lower_fences_of_other_keys_are_accepted() {
+    run(async {
+        let (host, server) = start(settings());
+        for (keys, idempotency_keys) in [(1_000, false), (0, true)] {
+            for (first_id, fence) in [(1, "9.0"), (2, "8.0")] {
+                let headers = vec![("cornelridge-fence", fence.to_owned())];
+                let seed = first_id;
+                let load = LoadSettings {
+                    keys,
+                    idempotency_keys,
+                    headers,
+                    first_id,
+                    seed,
+                    ..calls(server.address(), 1)
+                };
+                assert_eq!(send(&host, load).await.count(CallOutcome::Whole), 1);
+            }
+        }
+        assert_eq!(server.counts().refused_fence, 0);
+    });
+}
+
 /// An older fence must be refused without execution, and only by upstreams that check fences.
 #[test]
 fn older_fences_are_refused() {
