Run suspects on one worker and hold back fresh expiries from the planner

Cause: the policy work found that a hedge or a second worker can lose a third upstream to one request; the ownership work found that a move ended on the ground of a fresh expiry skips the wait that an upstream without fence checks needs.

--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -183,16 +183,7 @@
     fingerprint: quarantine::RequestFingerprint,
 ) -> Result<SlotPermit, RequestFailure> {
     let now = context.clock.now();
-    let alone = match context.suspect_decision(now, fingerprint) {
-        quarantine::SuspectDecision::Pass => false,
-        quarantine::SuspectDecision::RunAlone => true,
-        quarantine::SuspectDecision::Refuse { remaining } => {
-            let secs = remaining.as_millis().div_ceil(1_000);
-            let message =
-                format!("requests like this one crashed two upstreams; refused for {secs} s");
-            return Err(RequestFailure::not_run(FailureKind::Quarantined, message));
-        }
-    };
+    let alone = is_suspect(context, now, fingerprint)?;
     let (permit, verdict) = offer(context, head, class, fingerprint, alone)?;
     if let Some(verdict) = verdict {
         match verdict.recv().await {
@@ -204,9 +195,29 @@
             }
         }
     }
+    // The request may have become known as one that crashes upstreams while it waited.
+    is_suspect(context, context.clock.now(), fingerprint)?;
     Ok(permit)
 }
 
+/// Whether a request has to run alone; refuses one that crashed two upstreams.
+fn is_suspect(
+    context: &context::NodeContext,
+    now: time::Instant,
+    fingerprint: quarantine::RequestFingerprint,
+) -> Result<bool, RequestFailure> {
+    match context.suspect_decision(now, fingerprint) {
+        quarantine::SuspectDecision::Pass => Ok(false),
+        quarantine::SuspectDecision::RunAlone => Ok(true),
+        quarantine::SuspectDecision::Refuse { remaining } => {
+            let secs = remaining.as_millis().div_ceil(1_000);
+            let message =
+                format!("requests like this one crashed two upstreams; refused for {secs} s");
+            Err(RequestFailure::not_run(FailureKind::Quarantined, message))
+        }
+    }
+}
+
 fn offer(
     context: &Arc<context::NodeContext>,
     head: &request::RequestHead,
@@ -271,7 +282,7 @@
         }
         admission::RefusalReason::AloneUnavailable => {
             let message = "a request that may crash the upstream can't run alone soon enough";
-            (FailureKind::Overloaded, message.to_owned())
+            (FailureKind::Quarantined, message.to_owned())
         }
         admission::RefusalReason::UpstreamLost => {
             (FailureKind::UpstreamLost, "the upstream is gone".to_owned())
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -16,6 +16,7 @@
 use futures_lite::FutureExt;
 
 use crate::context;
+use crate::drain;
 use crate::serving;
 
 /// Longest wait of one watch at the store.
@@ -215,6 +216,10 @@
             context.workers.adopt(now, &context.identity.zone, &document, &classes);
             context.documents.put_assignment(document, bytes);
             serving::apply(context, actions);
+            if context.any_upstream().is_none() && drain::owned_slices(context) > 0 {
+                // The planner gave slices to this node before it learnt that the upstream is gone.
+                serving::release(context);
+            }
             serving::watch_predecessors(context);
             serving::sync_records(context);
         }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -8,6 +8,7 @@
 use cornelridge_model::ident;
 use cornelridge_model::outcome;
 use cornelridge_model::time;
+use cornelridge_policy::quarantine;
 use cornelridge_policy::retry;
 use cornelridge_wire::generated;
 use cornelridge_wire::transport;
@@ -50,7 +51,8 @@
         return Err(RequestFailure::not_run(FailureKind::UnknownClass, message));
     };
     let hedge_delay = context.policies.started(context.clock.now(), class);
-    let mut route = RoutePlan::new(class.is_sliced());
+    let fingerprint = quarantine::RequestFingerprint(head.fingerprint(&source));
+    let mut route = RoutePlan::new(class.is_sliced(), fingerprint);
     loop {
         let copy = source.try_clone();
         let target = route.next(context, &head, class);
@@ -133,13 +135,14 @@
 /// The nodes still to be asked in this pass.
 struct RoutePlan {
     is_sliced: bool,
+    fingerprint: quarantine::RequestFingerprint,
     remaining: Vec<ident::IncarnationId>,
     tried: Vec<ident::IncarnationId>,
 }
 
 impl RoutePlan {
-    fn new(is_sliced: bool) -> RoutePlan {
-        RoutePlan { is_sliced, remaining: Vec::new(), tried: Vec::new() }
+    fn new(is_sliced: bool, fingerprint: quarantine::RequestFingerprint) -> RoutePlan {
+        RoutePlan { is_sliced, fingerprint, remaining: Vec::new(), tried: Vec::new() }
     }
 
     fn has_more(&self) -> bool {
@@ -162,8 +165,12 @@
     ) -> Option<ident::IncarnationId> {
         if !self.is_sliced {
             let now = context.clock.now();
+            let is_suspect = context.suspect_decision(now, self.fingerprint)
+                == quarantine::SuspectDecision::RunAlone;
+            let suspect = is_suspect.then_some(self.fingerprint);
+            let tried = &self.tried;
             let mut random = context.random();
-            let chosen = context.workers.choose(now, &head.class, &self.tried, &mut random);
+            let chosen = context.workers.choose(now, &head.class, tried, suspect, &mut random);
             self.tried.extend(chosen);
             return chosen;
         }
@@ -204,7 +211,9 @@
             return result;
         }
         let now = self.context.clock.now();
-        if !self.context.policies.try_hedge(now, self.class, self.head.deadline) {
+        let suspicion = self.context.suspect_decision(now, route.fingerprint);
+        let deadline = self.head.deadline;
+        if !self.context.policies.try_hedge(now, self.class, deadline, suspicion) {
             return first.await;
         }
         let Some(other) = route.next(self.context, self.head, self.class) else {
--- a/crates/node/src/policies.rs
+++ b/crates/node/src/policies.rs
@@ -8,6 +8,7 @@
 use cornelridge_model::time;
 use cornelridge_policy::hedge;
 use cornelridge_policy::meter;
+use cornelridge_policy::quarantine;
 use cornelridge_policy::retry;
 
 use crate::context::lock;
@@ -98,8 +99,11 @@
         now: time::Instant,
         class: &class::ClassConfig,
         deadline: time::Instant,
+        suspicion: quarantine::SuspectDecision,
     ) -> bool {
-        self.with(now, class, |policy| policy.hedge.try_hedge(now, deadline, &mut policy.budget))
+        self.with(now, class, |policy| {
+            policy.hedge.try_hedge(now, deadline, suspicion, &mut policy.budget)
+        })
     }
 
     /// Decides whether a failed attempt is repeated.
--- a/crates/node/src/report.rs
+++ b/crates/node/src/report.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use cornelridge_model::time;
+use cornelridge_ownership as ownership;
 use cornelridge_wire::generated;
 use cornelridge_wire::transport;
 
@@ -20,6 +21,12 @@
     let silent = newest.into_iter().flat_map(|lease| &lease.guards).filter(|guard| {
         guard.refused || guard.acknowledgement_age.is_some_and(|age| age > SILENT_GUARD)
     });
+    // The planner ends a move on the ground of an expiry; the successor's wait for an upstream that
+    // doesn't check fences must have passed by then.
+    let is_past = |expiry: &&ownership::ExpiryReport| {
+        now.since(expiry.known_at) > ownership::timing::CHECK_TO_SEND
+    };
+    let expired = state.expired.iter().filter(is_past);
     let load = context.loads.take(now);
     generated::StatusAnswer {
         versions: peers::versions(context),
@@ -32,7 +39,7 @@
         loads: load.slices,
         hot_keys: load.hot_keys,
         silent_guards: silent.map(|guard| guard.guard.0).collect(),
-        expired: state.expired.iter().map(|expiry| peers::lease_to_wire(expiry.lease)).collect(),
+        expired: expired.map(|expiry| peers::lease_to_wire(expiry.lease)).collect(),
     }
 }
 
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -228,14 +228,16 @@
 pub(crate) fn load_hint(context: &context::NodeContext) -> Option<Body> {
     let link = context.any_upstream()?;
     let now = context.clock.now();
+    let classes = context.classes();
+    let rank = classes.class(&link.announcement.class).map_or(0, |class| class.yield_rank);
     let gate = context.gate_queue();
     let queue = gate.queue();
     Some(Body::LoadHint(generated::LoadHint {
         class: link.announcement.class.to_string(),
         in_flight: queue.running() as u32,
-        queued: queue.queued() as u32,
+        queued: queue.queued_before(rank) as u32,
         limit: queue.limit(now),
-        queue_delay_us: queue.expected_wait(now, 0).as_micros(),
+        queue_delay_us: queue.expected_wait(now, rank).as_micros(),
         accepting: !context.is_draining() && !link.announcement.leaving,
     }))
 }
--- a/crates/node/src/workers.rs
+++ b/crates/node/src/workers.rs
@@ -9,6 +9,7 @@
 use cornelridge_model::ident;
 use cornelridge_model::outcome;
 use cornelridge_model::time;
+use cornelridge_policy::quarantine;
 use cornelridge_policy::selection;
 
 use crate::context;
@@ -90,16 +91,25 @@
         lock(&self.classes).values_mut().for_each(|workers| workers.selector.tick(now));
     }
 
-    /// Chooses a worker that hasn't been tried.
+    /// Chooses a worker that hasn't been tried; a suspect gets the same one at every node.
     pub(crate) fn choose(
         &self,
         now: time::Instant,
         class: &str,
         tried: &[ident::IncarnationId],
+        suspect: Option<quarantine::RequestFingerprint>,
         rng: &mut fastrand::Rng,
     ) -> Option<ident::IncarnationId> {
         let mut classes = lock(&self.classes);
-        let choice = classes.get_mut(class)?.selector.select(now, tried, rng)?;
+        let selector = &mut classes.get_mut(class)?.selector;
+        let choice = match suspect {
+            None => selector.select(now, tried, rng)?,
+            Some(fingerprint) => {
+                let untried = selector.workers().filter(|worker| !tried.contains(worker));
+                let worker = quarantine::trial_worker(fingerprint, untried)?;
+                selector.assign(now, worker)?
+            }
+        };
         Some(choice.worker)
     }
 
