Sleep while there are no deadlines and no doubts about the upstream

Change: both wait for an event; the queue is looked at every 12 ms while anything waits, and the ownership machine every 40 ms.

--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -25,8 +25,6 @@
 const HEADER_READ_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
-/// Interval in which a suspicion of the upstream is looked for.
-const SUSPICION_TICK: time::Duration = time::Duration::from_millis(10);
 
 /// Accepts announcements until the node stops.
 pub(crate) async fn serve(context: Arc<context::NodeContext>, listener: TcpListener) {
@@ -136,12 +134,7 @@
     let interval = async {
         context.sleep(upstream::CHECK_INTERVAL).await;
     };
-    let suspicion = async {
-        while !context.take_upstream_suspicion() {
-            context.sleep(SUSPICION_TICK).await;
-        }
-    };
-    interval.or(suspicion).await;
+    interval.or(context.upstream_suspected()).await;
 }
 
 fn lost(context: &Arc<context::NodeContext>, link: &context::UpstreamLink, is_silent: bool) {
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -107,7 +107,7 @@
     gate: sync::Mutex<gate_admission::GateQueue>,
     suspects: sync::Mutex<quarantine::SuspectRegistry>,
     upstream: sync::Mutex<Option<Arc<UpstreamLink>>>,
-    upstream_suspected: atomic::AtomicBool,
+    upstream_checks: (channel::Sender<()>, channel::Receiver<()>),
     leaving: atomic::AtomicBool,
     announced: atomic::AtomicU64,
     liveness: sync::Mutex<liveness::PeerLiveness>,
@@ -145,7 +145,7 @@
             leave_requested: CancellationToken::new(),
             max_callers: parts.max_callers,
             documents: documents::DocumentCache::default(),
-            deadlines: Arc::default(),
+            deadlines: Arc::new(deadline::DeadlineTable::new()),
             requests: InFlightCounter::default(),
             caller_connections: InFlightCounter::default(),
             policies: policies::PolicyTable::default(),
@@ -160,7 +160,7 @@
             gate: sync::Mutex::new(gate_admission::GateQueue::new(now, 1)),
             suspects: sync::Mutex::default(),
             upstream: sync::Mutex::default(),
-            upstream_suspected: atomic::AtomicBool::new(false),
+            upstream_checks: channel::bounded(1),
             leaving: atomic::AtomicBool::new(false),
             announced: atomic::AtomicU64::new(0),
             liveness: sync::Mutex::new(liveness::PeerLiveness::new(
@@ -269,12 +269,13 @@
 
     /// Asks for a check of the upstream at once.
     pub(crate) fn suspect_upstream(&self) {
-        self.upstream_suspected.store(true, atomic::Ordering::Relaxed);
+        // A request that is already there serves as well.
+        let _ = self.upstream_checks.0.try_send(());
     }
 
-    /// Whether a check of the upstream was asked for since the last call.
-    pub(crate) fn take_upstream_suspicion(&self) -> bool {
-        self.upstream_suspected.swap(false, atomic::Ordering::Relaxed)
+    /// Completes when a check of the upstream was asked for.
+    pub(crate) async fn upstream_suspected(&self) {
+        let _ = self.upstream_checks.1.recv().await;
     }
 
     /// What to do with a request of this fingerprint.
--- a/crates/node/src/deadline.rs
+++ b/crates/node/src/deadline.rs
@@ -7,6 +7,7 @@
 use std::task;
 
 use cornelridge_model::time;
+use smol::channel;
 
 use crate::clock;
 use crate::context::lock;
@@ -23,13 +24,28 @@
     next: u64,
 }
 
-/// Waits until points in time, checked by one periodic task.
-#[derive(Debug, Default)]
+/// Waits until points in time, checked by one task that sleeps while there are none.
+#[derive(Debug)]
 pub(crate) struct DeadlineTable {
     state: sync::Mutex<TableState>,
+    filled: (channel::Sender<()>, channel::Receiver<()>),
 }
 
 impl DeadlineTable {
+    /// A table without waits.
+    pub(crate) fn new() -> DeadlineTable {
+        DeadlineTable { state: sync::Mutex::default(), filled: channel::bounded(1) }
+    }
+
+    /// Completes when there are waits.
+    pub(crate) async fn filled(&self) {
+        while lock(&self.state).waits.is_empty() {
+            if self.filled.1.recv().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Wakes the waits that have ended.
     pub(crate) fn wake(&self, now: time::Instant) {
         let due = {
@@ -73,7 +89,13 @@
         if key.1 == next {
             state.next += 1;
         }
+        let was_empty = state.waits.is_empty();
         state.waits.insert(key, cx.waker().clone());
+        drop(state);
+        if was_empty {
+            // A signal that is already there serves as well.
+            let _ = wait.table.filled.0.try_send(());
+        }
         task::Poll::Pending
     }
 }
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -30,7 +30,6 @@
         };
         apply(&context, actions);
         context.workers.tick(now);
-        context.gate_queue().tick(now);
         if round % HINT_TICKS == 0 {
             send_hints(&context, round / HINT_TICKS);
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -34,6 +34,9 @@
 /// Time that a leaving node gets to write that it has left.
 const FAREWELL_LIMIT: time::Duration = time::Duration::from_millis(500);
 
+/// Looks at the deadlines between two looks at the queue of the upstream.
+const QUEUE_ROUNDS: u64 = 3;
+
 /// A node that couldn't start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -96,10 +99,16 @@
     Ok((listener, bound))
 }
 
-async fn deadline_ticks(context: Arc<context::NodeContext>) {
-    loop {
+/// Ends waits whose time has come, and refuses queued requests that can't be answered in time.
+async fn check_deadlines(context: Arc<context::NodeContext>) {
+    for round in 0_u64.. {
+        context.deadlines.filled().await;
         context.sleep(deadline::TICK).await;
-        context.deadlines.wake(context.clock.now());
+        let now = context.clock.now();
+        context.deadlines.wake(now);
+        if round.is_multiple_of(QUEUE_ROUNDS) {
+            context.gate_queue().tick(now);
+        }
     }
 }
 
@@ -161,7 +170,7 @@
         let context = &self.context;
         let executor = &context.executor;
         let node = || Arc::clone(context);
-        executor.spawn(deadline_ticks(node()));
+        executor.spawn(check_deadlines(node()));
         executor.spawn(ingress::serve(node(), callers));
         executor.spawn(announce::serve(node(), announcements));
         executor.spawn(announce::watch(node()));
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -17,7 +17,7 @@
 use crate::replication;
 
 /// Interval of the timers of the ownership machine.
-const TICK: time::Duration = time::Duration::from_millis(25);
+const TICK: time::Duration = time::Duration::from_millis(40);
 /// Pause before a failed fetch of records is tried again.
 const FETCH_PAUSE: time::Duration = time::Duration::from_millis(200);
 /// Fetches of one slice before the next document or tick has to ask again.
