Box the parts of a request and answer fetches by the document

Cause: the future of a request had 12 KiB, half of it for the attempts, and was moved on each spawn; a fetch of records could be answered under a document that doesn't name the fetcher, so that later executions were not copied to it; liveness counted probes only. Change: attempts and the gate are boxed; a fetch is answered only when the chain names the fetcher; each message of a member is a sign of life.

--- a/crates/node/src/egress.rs
+++ b/crates/node/src/egress.rs
@@ -63,7 +63,7 @@
     writer: &transport::FrameWriter,
 ) -> Result<request::RequestAnswer, RequestFailure> {
     let is_idempotent = context.classes().class(&head.class).is_some_and(|class| class.idempotent);
-    let handled = gate::handle(context, head, source);
+    let handled = Box::pin(gate::handle(context, head, source));
     if !is_idempotent {
         return handled.await;
     }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -248,8 +248,9 @@
     let started = context.clock.now();
     let flight = workers::WorkerFlight::start(context, &head.class, target, class.is_sliced());
     let result = match target == context.identity.incarnation {
-        true => gate::handle(context, head.clone(), source).await,
-        false => send(context, head, source, target).await,
+        // Boxed, because the request's future would otherwise be 12 KiB that are moved on each spawn.
+        true => Box::pin(gate::handle(context, head.clone(), source)).await,
+        false => Box::pin(send(context, head, source, target)).await,
     };
     flight.finish(&result);
     let now = context.clock.now();
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -84,14 +84,22 @@
     peers::send(context, to, Body::ProbeAck(ack));
 }
 
+/// Notes a sign of life.
+pub(crate) fn heard(
+    context: &Arc<context::NodeContext>,
+    now: time::Instant,
+    from: ident::IncarnationId,
+) {
+    let actions = context.liveness().heard(now, from);
+    apply(context, actions);
+}
+
 /// Answers a probe.
 pub(crate) fn answer(
-    context: &Arc<context::NodeContext>,
+    context: &context::NodeContext,
     from: ident::IncarnationId,
     probe: &generated::Probe,
 ) {
-    let actions = context.liveness().heard(context.clock.now(), from);
-    apply(context, actions);
     send_ack(context, from, probe.nonce, context.identity.incarnation);
 }
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -66,6 +66,7 @@
     let Some(body) = message.body else { return };
     note_versions(context, sender, &body);
     let now = context.clock.now();
+    membership::heard(context, now, sender);
     match body {
         Body::Probe(probe) => membership::answer(context, sender, &probe),
         Body::ProbeAck(ack) => membership::acknowledged(context, sender, &ack),
--- a/crates/node/src/replication.rs
+++ b/crates/node/src/replication.rs
@@ -130,6 +130,11 @@
         last: key::KeyHash(fetch.last_hash),
     };
     let to = ident::IncarnationId(fetch.sender);
+    // Later executions are copied to the fetcher only under a document that names it; dropping the
+    // writer makes the fetcher ask again.
+    if !is_in_chain(&context, &range, to) {
+        return;
+    }
     let mut cursor = None;
     loop {
         let now = context.clock.now();
@@ -152,6 +157,23 @@
     }
 }
 
+/// Whether a member stands in the chain of every slice of a range.
+fn is_in_chain(
+    context: &context::NodeContext,
+    range: &records::RecordRange,
+    member: ident::IncarnationId,
+) -> bool {
+    let document = context.assignment();
+    let Some((_, slices)) = document.class(&range.class) else { return false };
+    let (Some(first), Some(last)) = (slices.find(range.first), slices.find(range.last)) else {
+        return false;
+    };
+    let has_member = |slice: &assignment::SliceRecord| {
+        slice.chain.iter().any(|lease| document.holder(*lease).incarnation == member)
+    };
+    slices.slices.get(first..=last).is_some_and(|slices| slices.iter().all(has_member))
+}
+
 /// Fetches the records of a range from a member of its chain; `false` if it has to be tried again.
 pub(crate) async fn fetch(
     context: &context::NodeContext,
