Give no duty to a registration that doesn't report

Registrations of hosts that are gone stay in the store. The planner gave such a member a lease and slices, and chose it as a guard, until liveness had held it lost for two seconds; a new planner repeats that for every old registration.

A member without a lease now serves only if it reports, and only reporting members become guards or take slices. While no report has arrived at all, as before the first document, every registration counts. A member that has slices keeps them without reports, as before.

--- a/crates/control/src/planner/mod.rs
+++ b/crates/control/src/planner/mod.rs
@@ -134,7 +134,7 @@
     ) {
         let name = Arc::clone(&draft.document.classes[index].class);
         let Some(config) = classes.class(&name).filter(|class| class.is_sliced()) else { return };
-        let mut placement = Placement::new(draft, &self.observations, &name);
+        let mut placement = Placement::new(now, draft, &self.observations, &name);
         if placement.len() == 0 {
             return;
         }
--- a/crates/control/src/planner/observations.rs
+++ b/crates/control/src/planner/observations.rs
@@ -128,6 +128,12 @@
         self.reported_at.get(&member).is_some_and(|at| now.since(*at) <= REPORT_SPAN)
     }
 
+    /// Whether the member reports; all count as reporting while no report has arrived at all, as
+    /// before the first document. Registrations of hosts that are gone stay in the store.
+    pub(crate) fn is_heard(&self, now: time::Instant, member: ident::IncarnationId) -> bool {
+        self.reported_at.is_empty() || self.has_reported(now, member)
+    }
+
     /// Whether liveness holds the member lost, however briefly; it then gets no new duty.
     pub(crate) fn is_doubted(&self, member: ident::IncarnationId) -> bool {
         self.lost.contains_key(&member)
--- a/crates/control/src/planner/placement.rs
+++ b/crates/control/src/planner/placement.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use cornelridge_model::{assignment, ident};
+use cornelridge_model::{assignment, ident, time};
 
 use super::draft::{Draft, MemberRole};
 use super::mix;
@@ -51,7 +51,12 @@
 }
 
 impl Placement {
-    pub(crate) fn new(draft: &Draft, observations: &Observations, class: &str) -> Placement {
+    pub(crate) fn new(
+        now: time::Instant,
+        draft: &Draft,
+        observations: &Observations,
+        class: &str,
+    ) -> Placement {
         let mut zones = BTreeMap::<Arc<str>, u16>::new();
         let mut servers = Vec::new();
         let mut by_member = vec![None; draft.document.members.len()];
@@ -68,6 +73,7 @@
             servers.push(Server {
                 lease,
                 is_open: !observations.is_doubted(record.incarnation)
+                    && observations.is_heard(now, record.incarnation)
                     && !observations.misses_upstream(record.incarnation),
                 is_known: true,
                 zone,
--- a/crates/control/src/planner/roster.rs
+++ b/crates/control/src/planner/roster.rs
@@ -45,7 +45,8 @@
         });
         let is_gone = unheard(draft, member) || (trusts_liveness && is_lost(draft, member));
         let serves = sliced.contains(&draft.document.member(member).class)
-            && !observations.lacks_upstream(now, incarnation);
+            && !observations.lacks_upstream(now, incarnation)
+            && (newest.is_some() || observations.is_heard(now, incarnation));
         let role = if is_gone || (is_expired && observations.is_doubted(incarnation)) {
             MemberRole::Lost
         } else if observations.is_draining(incarnation) {
@@ -129,7 +130,7 @@
 
 /// Gives each serving member a lease whose guards are present, in as many zones as possible.
 pub(crate) fn update_leases(now: time::Instant, draft: &mut Draft, observations: &Observations) {
-    let mut duties = GuardDuties::new(draft, observations);
+    let mut duties = GuardDuties::new(now, draft, observations);
     let mut improvements = MAX_IMPROVEMENTS;
     for holder in draft.member_keys() {
         if draft.role(holder) != MemberRole::Serving {
@@ -203,7 +204,7 @@
 }
 
 impl GuardDuties {
-    fn new(draft: &Draft, observations: &Observations) -> GuardDuties {
+    fn new(now: time::Instant, draft: &Draft, observations: &Observations) -> GuardDuties {
         let mut counts = vec![0; draft.document.members.len()];
         for lease in draft.newest.iter().flatten() {
             for guard in &draft.document.lease(*lease).guards {
@@ -214,6 +215,7 @@
             let newest = draft.newest[usize::from(member.0)];
             matches!(draft.role(*member), MemberRole::Serving | MemberRole::Idle)
                 && !observations.is_doubted(draft.incarnation(*member))
+                && observations.is_heard(now, draft.incarnation(*member))
                 && newest.is_none_or(|lease| {
                     !draft.is_dead(lease)
                         || observations.has_outlived(draft.document.lease_id(lease))
--- a/crates/control/tests/planner.rs
+++ b/crates/control/tests/planner.rs
@@ -173,6 +173,22 @@
     assert_eq!(region.documents, documents);
 }
 
+/// Guards against slices and guard duties for a host that is gone but still registered.
+#[test]
+fn a_registration_without_reports_gets_no_duty() {
+    let mut region = region(4, 3, 3);
+    region.add("orders", 1, 3);
+    region.nodes[7].is_alive = false;
+    region.steps(120);
+    let gone = region.incarnation(7);
+    assert!(!owners(&region, "orders").contains(&gone));
+    let document = region.document();
+    let member = document.member_key(gone).expect("registered");
+    let names =
+        |lease: &assignment::LeaseRecord| lease.holder == member || lease.guards.contains(&member);
+    assert!(!document.leases.iter().any(names));
+}
+
 /// Guards against an owner without an upstream, and against reusing an expired lease when the
 /// upstream returns.
 #[test]
