--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -106,9 +106,7 @@
     SettingSpec::new("log-level", "LEVEL", "info", "error, warn, info, debug or trace"),
     SettingSpec::new("log-format", "FORMAT", "text", "text or json"),
     SettingSpec::new("drain-limit-s", "SECONDS", "30", "longest wait for requests while draining"),
-    SettingSpec::new("executor-threads", "COUNT", "1", "threads that run the node's tasks"),
     SettingSpec::new("max-caller-connections", "COUNT", "4096", "open connections from callers"),
-    SettingSpec::new("max-queued-requests", "COUNT", "1024", "requests that wait for the upstream"),
     SettingSpec::new("max-records", "COUNT", "65536", "at-most-once records kept in memory"),
 ];
 
@@ -191,15 +189,13 @@
 pub struct LimitSettings {
     /// Open connections from callers.
     pub caller_connections: usize,
-    /// Requests that wait for the upstream.
-    pub queued_requests: usize,
     /// At-most-once records kept in memory.
     pub records: usize,
 }
 
 impl Default for LimitSettings {
     fn default() -> LimitSettings {
-        LimitSettings { caller_connections: 4_096, queued_requests: 1_024, records: 65_536 }
+        LimitSettings { caller_connections: 4_096, records: 65_536 }
     }
 }
 
@@ -234,8 +230,6 @@
     pub log_format: LogFormat,
     /// Longest wait for requests while draining.
     pub drain_limit: time::Duration,
-    /// Threads that run the node's tasks.
-    pub executor_threads: usize,
     /// Bounds on memory.
     pub limits: LimitSettings,
 }
@@ -287,7 +281,6 @@
             log_level: LogLevel::Info,
             log_format: LogFormat::Text,
             drain_limit: time::Duration::from_secs(30),
-            executor_threads: 1,
             limits: LimitSettings::default(),
         }
     }
--- a/crates/node/src/settings/source.rs
+++ b/crates/node/src/settings/source.rs
@@ -115,9 +115,7 @@
         let log_level = self.log_level();
         let log_format = self.log_format();
         let drain_limit_s = self.number("drain-limit-s", 1, 3_600);
-        let executor_threads = self.number("executor-threads", 1, 64);
         let caller_connections = self.number("max-caller-connections", 1, 1_000_000);
-        let queued_requests = self.number("max-queued-requests", 1, 1_000_000);
         let records = self.number("max-records", 1, 16_777_216);
         let errors = std::mem::take(&mut self.errors);
         // Every `None` below comes with an error, so `assemble` fails only with a message.
@@ -138,10 +136,8 @@
                 log_level: log_level?,
                 log_format: log_format?,
                 drain_limit: time::Duration::from_secs(drain_limit_s? as u64),
-                executor_threads: executor_threads?,
                 limits: settings::LimitSettings {
                     caller_connections: caller_connections?,
-                    queued_requests: queued_requests?,
                     records: records?,
                 },
             })
