--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -53,11 +53,6 @@
     /// Certificates can't be used.
     #[error(transparent)]
     Identity(#[from] identity::IdentityError),
-    /// No identity for a local trial was given.
-    #[error(
-        "a local trial needs an identity in the process; give --tls-ca, --tls-certificate and --tls-key"
-    )]
-    NoIdentity,
 }
 
 /// A running node.
@@ -74,7 +69,7 @@
     pub operator_address: net::SocketAddr,
 }
 
-/// Reads the identity of a node from the files in its settings.
+/// Reads the identity of a node from the files in its settings, or makes one for a local trial.
 pub fn read_identity(
     settings: &settings::NodeSettings,
 ) -> Result<identity::TlsIdentity, StartError> {
@@ -82,7 +77,9 @@
         settings::PeerTrust::TlsFiles { ca, certificate, key } => {
             Ok(identity::TlsIdentity::from_pem_files(certificate, key, ca)?)
         }
-        settings::PeerTrust::InsecureLocalTrial => Err(StartError::NoIdentity),
+        settings::PeerTrust::InsecureLocalTrial => {
+            Ok(identity::TlsIdentity::insecure_local_trial(&settings.node)?)
+        }
     }
 }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -289,7 +289,11 @@
     pub fn warnings(&self) -> Vec<String> {
         let mut warnings = Vec::new();
         if self.trust == PeerTrust::InsecureLocalTrial {
-            warnings.push("--insecure-local-trial: peers are not authenticated".to_owned());
+            warnings.push(
+                "--insecure-local-trial: any process on this machine is accepted as a node; \
+                 use certificates for everything but trials"
+                    .to_owned(),
+            );
         }
         let exposed = [
             ("operator-address", self.operator_address),
--- a/crates/wire/src/identity.rs
+++ b/crates/wire/src/identity.rs
@@ -10,6 +10,8 @@
 use rustls::pki_types::pem::PemObject;
 use thiserror::Error;
 
+use crate::trial;
+
 /// Protocol of connections between nodes.
 pub const ALPN: &[u8] = b"cornelridge/1";
 /// Name that the certificate of each node carries. Nodes are addressed by IP address and hosts are
@@ -23,6 +25,8 @@
 pub struct TlsIdentity {
     client: Arc<quic_tls::QuicClientConfig>,
     server: Arc<quic_tls::QuicServerConfig>,
+    /// Whether any peer is accepted; endpoints then listen on loopback addresses only.
+    accepts_any: bool,
 }
 
 impl fmt::Debug for TlsIdentity {
@@ -70,7 +74,34 @@
         let roots = Arc::new(roots);
         let client = client_config(Arc::clone(&roots), chain.clone(), key.clone_key())?;
         let server = server_config(roots, chain, key)?;
-        Ok(TlsIdentity { client: Arc::new(client), server: Arc::new(server) })
+        let (client, server) = (Arc::new(client), Arc::new(server));
+        Ok(TlsIdentity { client, server, accepts_any: false })
+    }
+
+    /// Makes an identity that accepts any peer. It gives no protection and is meant for trials of
+    /// several processes on one machine, so endpoints with it listen on loopback addresses only.
+    pub fn insecure_local_trial(name: &str) -> Result<TlsIdentity, IdentityError> {
+        let pem = TrialAuthority::new()?.issue_pem(name)?;
+        let chain = certificates(pem.certificate.as_bytes())?;
+        let key = pki_types::PrivateKeyDer::from_pem_slice(pem.key.as_bytes())
+            .map_err(|error| IdentityError::Pem { reason: error.to_string() })?;
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let any = Arc::new(trial::AnyPeerVerifier::new(&provider));
+        let client = rustls::ClientConfig::builder_with_provider(Arc::clone(&provider))
+            .with_protocol_versions(&[&rustls::version::TLS13])?
+            .dangerous()
+            .with_custom_certificate_verifier(Arc::clone(&any) as _)
+            .with_client_auth_cert(chain.clone(), key.clone_key())?;
+        let server = rustls::ServerConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])?
+            .with_client_cert_verifier(any)
+            .with_single_cert(chain, key)?;
+        let (client, server) = (Arc::new(quic_client(client)?), Arc::new(quic_server(server)?));
+        Ok(TlsIdentity { client, server, accepts_any: true })
+    }
+
+    pub(crate) fn accepts_any(&self) -> bool {
+        self.accepts_any
     }
 
     pub(crate) fn client(&self) -> Arc<quic_tls::QuicClientConfig> {
@@ -109,10 +140,17 @@
     key: pki_types::PrivateKeyDer<'static>,
 ) -> Result<quic_tls::QuicClientConfig, IdentityError> {
     let provider = Arc::new(rustls::crypto::ring::default_provider());
-    let mut config = rustls::ClientConfig::builder_with_provider(provider)
+    let config = rustls::ClientConfig::builder_with_provider(provider)
         .with_protocol_versions(&[&rustls::version::TLS13])?
         .with_root_certificates(roots)
         .with_client_auth_cert(chain, key)?;
+    quic_client(config)
+}
+
+/// Applies what all connections to peers have in common.
+fn quic_client(
+    mut config: rustls::ClientConfig,
+) -> Result<quic_tls::QuicClientConfig, IdentityError> {
     config.alpn_protocols = vec![ALPN.to_vec()];
     // All peers share one server name, so a session ticket of one peer would be offered to another.
     config.resumption = rustls::client::Resumption::disabled();
@@ -129,10 +167,17 @@
         rustls::server::WebPkiClientVerifier::builder_with_provider(roots, Arc::clone(&provider))
             .build()
             .map_err(|error| IdentityError::Authorities { reason: error.to_string() })?;
-    let mut config = rustls::ServerConfig::builder_with_provider(provider)
+    let config = rustls::ServerConfig::builder_with_provider(provider)
         .with_protocol_versions(&[&rustls::version::TLS13])?
         .with_client_cert_verifier(verifier)
         .with_single_cert(chain, key)?;
+    quic_server(config)
+}
+
+/// Applies what all connections from peers have in common.
+fn quic_server(
+    mut config: rustls::ServerConfig,
+) -> Result<quic_tls::QuicServerConfig, IdentityError> {
     config.alpn_protocols = vec![ALPN.to_vec()];
     config.send_tls13_tickets = 0;
     config.session_storage = Arc::new(rustls::server::NoServerSessionStorage {});
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -33,4 +33,5 @@
 mod connection;
 mod peers;
 mod stream;
+mod trial;
 mod watchdog;
--- a/crates/wire/src/transport.rs
+++ b/crates/wire/src/transport.rs
@@ -137,6 +137,9 @@
     /// Opens the socket and starts to accept peers.
     pub fn bind(settings: EndpointSettings) -> Result<NodeEndpoint, TransportError> {
         let EndpointSettings { listen, identity } = settings;
+        if identity.accepts_any() && !listen.ip().is_loopback() {
+            return Err(TransportError::ExposedTrial { listen });
+        }
         let failed = |source| TransportError::Bind { listen, source };
         let socket = net::UdpSocket::bind(listen).map_err(failed)?;
         let endpoint = quinn::Endpoint::new(
@@ -444,6 +447,12 @@
         /// Reason given by the operating system.
         source: io::Error,
     },
+    /// An identity that accepts any peer would be used on an address that other hosts reach.
+    #[error("cannot listen on {listen} without verifying peers: use a loopback address")]
+    ExposedTrial {
+        /// The address.
+        listen: net::SocketAddr,
+    },
     /// There is no connection to the peer.
     #[error("cannot connect to {peer} ({reason}): use another node")]
     Unreachable {
@@ -492,7 +501,9 @@
     /// frame says nothing about earlier frames, so it counts as `true`.
     pub fn may_have_reached_peer(&self) -> bool {
         match self {
-            TransportError::Bind { .. } | TransportError::Unreachable { .. } => false,
+            TransportError::Bind { .. }
+            | TransportError::ExposedTrial { .. }
+            | TransportError::Unreachable { .. } => false,
             TransportError::ConnectionLost { sent, .. }
             | TransportError::Refused { sent, .. }
             | TransportError::StreamEnded { sent } => *sent,
--- a/crates/wire/tests/identity.rs
+++ b/crates/wire/tests/identity.rs
@@ -2,9 +2,13 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod support;
+
 use std::fs;
 
-use cornelridge_wire::identity;
+use cornelridge_wire::{generated, identity, transport};
+
+use support::{bind, head, next_stream, request_id, run};
 
 /// Files that were written by the helper must be usable, and the key must not appear in logs.
 #[test]
@@ -21,3 +25,42 @@
     assert_eq!(format!("{:?}", loaded.unwrap()), "TlsIdentity { .. }");
     assert!(swapped.is_err());
 }
+
+/// Separate processes of a local trial share no authority and must still reach each other.
+#[test]
+fn nodes_of_a_local_trial_accept_each_other() {
+    run(async {
+        let identity = |name| identity::TlsIdentity::insecure_local_trial(name).unwrap();
+        let (a, b) = (bind(identity("a")), bind(identity("b")));
+        let _stream = a.open_stream(b.local_address(), &head(7)).await.unwrap();
+        assert_eq!(request_id(&next_stream(&b).await.0), 7);
+    });
+}
+
+/// Accepting any peer on an address that other hosts reach would open the deployment to them.
+#[test]
+fn a_local_trial_listens_on_loopback_only() {
+    let identity = identity::TlsIdentity::insecure_local_trial("a").unwrap();
+    for listen in ["0.0.0.0:0", "[::]:0", "10.0.0.7:0"].map(|text| text.parse().unwrap()) {
+        let settings = transport::EndpointSettings { listen, identity: identity.clone() };
+        let error = transport::NodeEndpoint::bind(settings).unwrap_err();
+        assert!(matches!(error, transport::TransportError::ExposedTrial { .. }), "{error}");
+    }
+}
+
+/// A node with certificates must not accept a node of a local trial, or connect to one.
+#[test]
+fn nodes_with_certificates_refuse_those_of_a_local_trial() {
+    run(async {
+        let trial = bind(identity::TlsIdentity::insecure_local_trial("trial").unwrap());
+        let node = bind(identity::TrialAuthority::new().unwrap().issue("node").unwrap());
+        assert!(node.open_stream(trial.local_address(), &head(1)).await.is_err());
+        assert!(trial.events().is_empty());
+        // The trial accepts the certificate of the node, which closes the connection afterwards.
+        if let Ok((_writer, mut reader)) = trial.open_stream(node.local_address(), &head(1)).await {
+            let answer = reader.receive::<generated::ResponseHead>().await;
+            assert!(answer.is_err(), "{answer:?}");
+        }
+        assert!(node.events().is_empty());
+    });
+}
