Record every declared metric

Cause: ten metrics were declared and documented but never recorded, and the lease gauge fell to 0 when an old generation ended while the next one was held.

It looks for each declared metric with exactly its declared labels in the rendered text. The cost on the path of requests was not measured.

--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -13,6 +13,7 @@
 
 use crate::context;
 use crate::failure::{FailureKind, RequestFailure};
+use crate::meter;
 use crate::peers;
 use crate::request;
 
@@ -103,6 +104,7 @@
     fingerprint: quarantine::RequestFingerprint,
     dispatched: sync::OnceLock<time::Instant>,
     end: sync::Mutex<SlotEnd>,
+    meter: Arc<meter::UpstreamMeter>,
 }
 
 impl SlotPermit {
@@ -160,8 +162,13 @@
         gate.running.remove(&self.id);
         gate.waiting.remove(&self.id);
         let actions = match (self.dispatched.get(), end) {
-            (None, _) | (_, SlotEnd::Cancelled) => gate.queue.cancel(now, self.id),
+            (None, _) => gate.queue.cancel(now, self.id),
+            (Some(dispatched), SlotEnd::Cancelled) => {
+                self.meter.ended(now.since(*dispatched));
+                gate.queue.cancel(now, self.id)
+            }
             (Some(dispatched), end) => {
+                self.meter.ended(now.since(*dispatched));
                 let report = admission::FinishReport {
                     latency: now.since(*dispatched),
                     shed: end == SlotEnd::Shed,
@@ -196,7 +203,9 @@
         }
     }
     // The request may have become known as one that crashes upstreams while it waited.
-    is_suspect(context, context.clock.now(), fingerprint)?;
+    let admitted = context.clock.now();
+    is_suspect(context, admitted, fingerprint)?;
+    permit.meter.waited(admitted.since(now));
     Ok(permit)
 }
 
@@ -246,6 +255,7 @@
         fingerprint,
         dispatched: sync::OnceLock::new(),
         end: sync::Mutex::new(SlotEnd::Failed),
+        meter: context.meter.upstream(&class.name),
     };
     match decision {
         admission::AdmissionDecision::Dispatch => Ok((permit, None)),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -43,6 +43,7 @@
 mod replication;
 mod report;
 mod request;
+mod sampling;
 mod serving;
 pub mod settings;
 mod tenure;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -28,6 +28,7 @@
 use crate::oversight;
 use crate::peers;
 use crate::planning;
+use crate::sampling;
 use crate::serving;
 use crate::settings;
 
@@ -119,6 +120,10 @@
         let store = client::StoreClient::new(client::StoreSettings::new(settings.store_address));
         let stop = CancellationToken::new();
         let mut random = fastrand::Rng::new();
+        // Handles made before the recorder is installed would record nothing.
+        if let Err(error) = metering::install() {
+            log::warn!("no metrics: {error}");
+        }
         let context = Arc::new(context::NodeContext::new(context::ContextParts {
             identity: context::NodeIdentity {
                 name: Arc::clone(&settings.node),
@@ -134,9 +139,6 @@
             advertised: settings.peer_advertised.unwrap_or(peer_address),
             seed: random.u64(..),
         }));
-        if let Err(error) = metering::install() {
-            log::warn!("no metrics: {error}");
-        }
         let drain_limit = time::Duration(settings.drain_limit.as_micros() as u64);
         let handle = NodeHandle {
             context,
@@ -169,6 +171,7 @@
         executor.spawn(configuration::follow(node(), configuration::DocumentKind::Assignment));
         executor.spawn(planning::registration(node()));
         executor.spawn(planning::run(node()));
+        executor.spawn(sampling::run(node()));
         planning::register(context);
     }
 
--- a/crates/node/src/oversight.rs
+++ b/crates/node/src/oversight.rs
@@ -114,6 +114,7 @@
                 write::WriteStep::Put { if_match, at } => {
                     context.sleep_until(at).await;
                     let expected = store::StoreRevision(if_match);
+                    context.meter.store_call();
                     let put = context.store.put(key, expected, value.clone()).await;
                     let answer = match put {
                         Ok(revision) => write::PutAnswer::Written(revision.0),
@@ -124,6 +125,7 @@
                 }
                 write::WriteStep::Read { at } => {
                     context.sleep_until(at).await;
+                    context.meter.store_call();
                     let answer = match context.store.get(key).await {
                         Ok(Some(found)) => write::ReadAnswer::Found {
                             revision: found.revision.0,
@@ -145,6 +147,7 @@
         let context = &self.context;
         let kind = configuration::DocumentKind::Classes;
         let key = kind.store_key(&context.identity.region);
+        context.meter.store_call();
         let stored = context.store.get(&key).await.map_err(|error| unavailable(&error))?;
         let base = stored.as_ref().map_or(store::StoreRevision(0), |value| value.revision);
         let current =
@@ -194,6 +197,7 @@
         let failed = |error: store::StoreError| operators::RetireError::StoreUnavailable {
             reason: error.to_string(),
         };
+        context.meter.store_call();
         let stored = context.store.get(&key).await.map_err(failed)?;
         let decoded = stored.and_then(|value| {
             let document = document::decode_assignment(&value.value).ok()?;
--- /dev/null
+++ b/crates/node/src/sampling.rs
@@ -0,0 +1,54 @@
+//! Gauges and totals that are read from the state of the node once a second.
+
+use std::sync::Arc;
+
+use cornelridge_model::time;
+use cornelridge_policy::quarantine;
+
+use crate::context;
+use crate::metering;
+
+/// Interval of the samples; recording each change would cost more on the path of a request.
+const INTERVAL: time::Duration = time::Duration::from_millis(1_000);
+
+/// Samples until the node stops.
+pub(crate) async fn run(context: Arc<context::NodeContext>) {
+    loop {
+        sample(&context);
+        context.sleep(INTERVAL).await;
+    }
+}
+
+fn sample(context: &context::NodeContext) {
+    sample_upstream(context);
+    // An old generation that ends while the next one is held is no loss of the right to serve.
+    let is_held = context.ownership().state().leases.iter().any(|lease| lease.held);
+    context.meter.gauge(metering::LEASE_HELD, f64::from(u8::from(is_held)));
+    let notices = context.suspects().notices(context.clock.now());
+    let is_refused = |notice: &&quarantine::SuspectNotice| {
+        matches!(notice, quarantine::SuspectNotice::Refused { .. })
+    };
+    let meter = &context.meter;
+    meter.gauge(metering::QUARANTINED, notices.iter().filter(is_refused).count() as f64);
+    meter.gauge(metering::RECORDS, context.records().len() as f64);
+    let (epoch, revision) = context.documents.versions();
+    meter.gauge(metering::EPOCH, epoch.0 as f64);
+    meter.gauge(metering::REVISION, revision.0 as f64);
+    let counts = context.endpoint.counts();
+    meter.control_bytes("sent", counts.control_sent);
+    meter.control_bytes("received", counts.control_received);
+}
+
+fn sample_upstream(context: &context::NodeContext) {
+    let link = context.any_upstream();
+    let class = link.as_ref().map(|link| &link.announcement.class);
+    context.meter.clear_other_upstreams(class.map(|class| &**class));
+    let Some(class) = class else { return };
+    let now = context.clock.now();
+    let (in_flight, queued, limit) = {
+        let gate = context.gate_queue();
+        let queue = gate.queue();
+        (queue.running(), queue.queued(), queue.limit(now))
+    };
+    context.meter.upstream(class).queue(in_flight, queued, limit);
+}
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -49,11 +49,10 @@
             }
             ownership::OwnershipAction::LeaseGained { lease } => {
                 log::info!("lease {lease} held");
-                context.meter.lease(true);
             }
             ownership::OwnershipAction::LeaseLost { lease, permanent } => {
                 log::warn!("lease {lease} lost, permanent: {permanent}");
-                context.meter.lease(false);
+                context.meter.lease_lost();
             }
             ownership::OwnershipAction::StartedServing { class, start, fence, .. } => {
                 started(context, &class, start, fence);
--- /dev/null
+++ b/crates/standin/tests/metrics.rs
@@ -0,0 +1,103 @@
+//! Metrics of a running deployment.
+
+#![allow(clippy::unwrap_used, clippy::panic)]
+
+mod support;
+
+use cornelridge::{metering, node};
+use cornelridge_standin::payload;
+
+use support::{KEYED, call, get, run, single, start, until};
+
+/// The value of each sample of a metric, with its labels.
+fn samples(text: &str, name: &str) -> Vec<(String, f64)> {
+    let lines = text.lines().filter_map(|line| line.strip_prefix(name)?.rsplit_once(' '));
+    let own = lines.filter(|(labels, _)| labels.starts_with('{'));
+    own.map(|(labels, value)| (labels.to_owned(), value.parse().unwrap())).collect()
+}
+
+fn series(meter: &metering::MeterSpec) -> String {
+    match meter.kind {
+        metering::MeterKind::Histogram => format!("{}_count", meter.name),
+        metering::MeterKind::Counter | metering::MeterKind::Gauge => meter.name.to_owned(),
+    }
+}
+
+/// The labels besides `node`, and `le` of histograms, that the page declares.
+fn declared_labels(name: &str) -> &'static [&'static str] {
+    match name {
+        metering::REQUESTS => &["class", "outcome"],
+        metering::REFUSALS => &["class", "reason"],
+        metering::CONTROL_BYTES => &["direction"],
+        metering::OPERATOR_REQUESTS => &["status"],
+        metering::REQUEST_SECONDS
+        | metering::RETRIES
+        | metering::HEDGES
+        | metering::IN_FLIGHT
+        | metering::QUEUED
+        | metering::QUEUE_SECONDS
+        | metering::UPSTREAM_SECONDS
+        | metering::CONCURRENCY_LIMIT => &["class"],
+        _ => &[],
+    }
+}
+
+/// The names in `{node="n1",class="c"}`; no value in this test contains a comma.
+fn label_names(labels: &str) -> Vec<&str> {
+    let pairs = labels.trim_matches(['{', '}']).split(',');
+    let mut names: Vec<_> = pairs.filter_map(|pair| Some(pair.split_once('=')?.0)).collect();
+    names.sort_unstable();
+    names
+}
+
+/// A metric that is declared and never recorded shows operators nothing, without an error.
+#[test]
+fn every_declared_metric_is_recorded_with_its_labels() {
+    run(async {
+        let mesh = start(single(KEYED, 3)).await;
+        let caller = mesh.caller_addresses()[0];
+        let headers = [("cornelridge-key", "key-1"), (payload::ECHO_HEADER, "7")];
+        let reply = call(caller, get(KEYED, &headers)).await.unwrap();
+        assert!(reply.is_answer_to(7), "{reply:?}");
+        let refused = call(caller, get("no-class", &[])).await.unwrap();
+        assert_eq!(refused.status, 404);
+        let operator = mesh.hosts[0].node.as_ref().unwrap().operator_address;
+        let unauthorized = call(operator, get("status", &[])).await.unwrap();
+        assert_eq!(unauthorized.status, 401);
+
+        let value = |name: &str| {
+            samples(&metering::render(), name).iter().map(|(_, value)| value).sum::<f64>()
+        };
+        // The gauges are sampled once a second.
+        until("the gauges show the deployment", || {
+            value(metering::CONCURRENCY_LIMIT) > 0.0
+                && value(metering::EPOCH) > 0.0
+                && value(metering::REVISION) >= 3.0
+                && value(metering::CONTROL_BYTES) > 0.0
+        })
+        .await;
+        let text = metering::render();
+        for meter in metering::METERS {
+            let found = samples(&text, &series(meter));
+            assert!(!found.is_empty(), "{} is not recorded:\n{text}", meter.name);
+            let mut expected = declared_labels(meter.name).to_vec();
+            expected.push("node");
+            expected.sort_unstable();
+            for (labels, _) in found {
+                assert_eq!(label_names(&labels), expected, "{}{labels}", meter.name);
+            }
+        }
+        // A slow machine may add hedged attempts, so only the least number is certain.
+        assert!(value("cornelridge_queue_seconds_count") >= 1.0);
+        assert!(value("cornelridge_upstream_seconds_count") >= 1.0);
+        until("no request is shown in flight", || value(metering::IN_FLIGHT) == 0.0).await;
+        until("all leases are shown", || value(metering::LEASE_HELD) == 3.0).await;
+        for direction in ["sent", "received"] {
+            let bytes = samples(&text, metering::CONTROL_BYTES);
+            let label = format!("direction=\"{direction}\"");
+            let moved = bytes.iter().filter(|(labels, _)| labels.contains(&label));
+            assert!(moved.clone().count() == 3 && moved.clone().all(|(_, value)| *value > 0.0));
+        }
+        mesh.nodes().for_each(node::NodeHandle::stop);
+    });
+}
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -23,7 +23,7 @@
 /// Far above any expected wait; a test that reaches it has hung.
 pub(crate) const LIMIT: time::Duration = time::Duration::from_secs(90);
 /// Pause between two looks at a condition.
-const POLL: time::Duration = time::Duration::from_millis(5);
+pub(crate) const POLL: time::Duration = time::Duration::from_millis(5);
 /// Keys of the load, named as the sample of `Mesh::served`.
 pub(crate) const KEYS: u64 = 64;
 /// Class divided by key.
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -28,6 +28,13 @@
 /// Code of a connection that a newer one from the same address replaces, or that was forgotten.
 const CODE_RETIRED: quinn::VarInt = quinn::VarInt::from_u32(4);
 
+/// Bytes of control messages and document frames on all connections of an endpoint.
+#[derive(Debug, Default)]
+pub(crate) struct ControlBytes {
+    pub(crate) sent: AtomicU64,
+    pub(crate) received: AtomicU64,
+}
+
 /// An established connection.
 #[derive(Debug)]
 pub(crate) struct PeerConnection {
@@ -38,17 +45,19 @@
     watched: AtomicBool,
     retired: AtomicBool,
     watch: channel::Sender<Arc<PeerConnection>>,
+    control: Arc<ControlBytes>,
 }
 
 impl PeerConnection {
     pub(crate) fn new(
         connection: quinn::Connection,
         watch: channel::Sender<Arc<PeerConnection>>,
+        control: Arc<ControlBytes>,
     ) -> Arc<PeerConnection> {
         let peer = connection.remote_address();
         let (halves, watched) = (AtomicUsize::new(0), AtomicBool::new(false));
         let retired = AtomicBool::new(false);
-        Arc::new(PeerConnection { connection, peer, halves, watched, retired, watch })
+        Arc::new(PeerConnection { connection, peer, halves, watched, retired, watch, control })
     }
 
     pub(crate) fn is_closed(&self) -> bool {
@@ -80,7 +89,12 @@
     }
 
     pub(crate) fn send_datagram(&self, datagram: Bytes) -> bool {
-        self.connection.send_datagram(datagram).is_ok()
+        let length = datagram.len() as u64;
+        let is_sent = self.connection.send_datagram(datagram).is_ok();
+        if is_sent {
+            self.control.sent.fetch_add(length, Ordering::Relaxed);
+        }
+        is_sent
     }
 
     /// Ends the watch if no stream is open.
@@ -157,6 +171,7 @@
             if datagram.is_empty() {
                 continue;
             }
+            self.control.received.fetch_add(datagram.len() as u64, Ordering::Relaxed);
             let from = self.peer;
             let Ok(message) = generated::ControlMessage::decode(datagram) else {
                 log::debug!(peer:% = from; "datagram dropped: not a control message");
@@ -208,6 +223,16 @@
     pub(crate) fn peer(&self) -> net::SocketAddr {
         self.connection.peer
     }
+
+    /// Counts a sent frame that carries a document.
+    pub(crate) fn document_sent(&self, bytes: usize) {
+        self.connection.control.sent.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Counts a received frame that carries a document.
+    pub(crate) fn document_received(&self, bytes: usize) {
+        self.connection.control.received.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
 }
 
 impl Drop for StreamGuard {
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -60,7 +60,9 @@
         &mut self,
         message: &M,
     ) -> Result<(), TransportError> {
+        let before = self.queued.len();
         codec::encode_frame(message, codec::MAX_DOCUMENT_FRAME_BYTES, &mut self.queued)?;
+        self.guard.document_sent(self.queued.len() - before);
         self.flush().await
     }
 
@@ -155,7 +157,10 @@
     where
         M: prost::Message + Default,
     {
-        self.receive_within(codec::MAX_FRAME_BYTES).await
+        match self.receive_frame(codec::MAX_FRAME_BYTES).await? {
+            Some(frame) => self.decode(frame).map(Some),
+            None => Ok(None),
+        }
     }
 
     /// The next message, which may carry a document.
@@ -163,7 +168,13 @@
     where
         M: prost::Message + Default,
     {
-        self.receive_within(codec::MAX_DOCUMENT_FRAME_BYTES).await
+        let Some(frame) = self.receive_frame(codec::MAX_DOCUMENT_FRAME_BYTES).await? else {
+            return Ok(None);
+        };
+        if let Some(guard) = &self.guard {
+            guard.document_received(codec::PREFIX_BYTES + frame.len());
+        }
+        self.decode(frame).map(Some)
     }
 
     /// Tells the peer to stop sending.
@@ -171,23 +182,24 @@
         self.stop_with(CODE_ABANDONED);
     }
 
-    async fn receive_within<M>(&mut self, limit: usize) -> Result<Option<M>, TransportError>
-    where
-        M: prost::Message + Default,
-    {
+    /// The payload of the next frame, or `None` at the clean end of the stream.
+    async fn receive_frame(&mut self, limit: usize) -> Result<Option<Bytes>, TransportError> {
         if self.failed {
             // QUIC reports a reset once and a clean end from then on.
             return Err(TransportError::StreamEnded { sent: true });
         }
-        let frame = match self.next_frame(limit).await {
-            Ok(Some(frame)) => frame,
+        match self.next_frame(limit).await {
+            Ok(Some(frame)) => Ok(Some(frame)),
             Ok(None) => {
                 self.guard = None;
-                return Ok(None);
+                Ok(None)
             }
-            Err(error) => return Err(self.fail(error)),
-        };
-        codec::decode_payload(frame).map(Some).map_err(|error| self.fail(error.into()))
+            Err(error) => Err(self.fail(error)),
+        }
+    }
+
+    fn decode<M: prost::Message + Default>(&mut self, frame: Bytes) -> Result<M, TransportError> {
+        codec::decode_payload(frame).map_err(|error| self.fail(error.into()))
     }
 
     async fn next_frame(&mut self, limit: usize) -> Result<Option<Bytes>, TransportError> {
--- a/crates/wire/src/transport.rs
+++ b/crates/wire/src/transport.rs
@@ -14,7 +14,7 @@
 use thiserror::Error;
 
 use crate::codec;
-use crate::connection::{INITIAL_STREAMS, MAX_STREAMS, PeerConnection};
+use crate::connection::{ControlBytes, INITIAL_STREAMS, MAX_STREAMS, PeerConnection};
 use crate::generated;
 use crate::identity;
 use crate::peers::{Direction, PeerTable, Route};
@@ -98,6 +98,10 @@
     pub handshakes: usize,
     /// Received datagrams that were dropped since the start because the receiver was behind.
     pub dropped_datagrams: u64,
+    /// Bytes of control messages and document frames sent since the start.
+    pub control_sent: u64,
+    /// Bytes of control messages and document frames received since the start.
+    pub control_received: u64,
 }
 
 /// A QUIC endpoint that connects to peers and accepts their connections; cheap to clone.
@@ -120,6 +124,7 @@
     watch: channel::Sender<Arc<PeerConnection>>,
     handshakes: AtomicUsize,
     dropped_datagrams: AtomicU64,
+    control: Arc<ControlBytes>,
 }
 
 #[derive(Debug)]
@@ -160,6 +165,7 @@
             watch,
             handshakes: AtomicUsize::new(0),
             dropped_datagrams: AtomicU64::new(0),
+            control: Arc::default(),
         });
         smol::spawn(accept(Arc::clone(&shared))).detach();
         smol::spawn(watchdog::watch(watched)).detach();
@@ -188,6 +194,8 @@
             connections: self.connections(),
             handshakes: self.shared.handshakes.load(Ordering::Relaxed),
             dropped_datagrams: self.shared.dropped_datagrams.load(Ordering::Relaxed),
+            control_sent: self.shared.control.sent.load(Ordering::Relaxed),
+            control_received: self.shared.control.received.load(Ordering::Relaxed),
         }
     }
 
@@ -302,7 +310,8 @@
                 return;
             }
         };
-        let connection = PeerConnection::new(connection, self.watch.clone());
+        let connection =
+            PeerConnection::new(connection, self.watch.clone(), Arc::clone(&self.control));
         let queued = self.peers().connected(peer, Direction::Outgoing, &connection);
         drop(sign);
         self.serve(peer, connection, queued).await;
@@ -344,7 +353,8 @@
             connection.close(CODE_NOT_A_NODE, b"not a node");
             return;
         }
-        let connection = PeerConnection::new(connection, self.watch.clone());
+        let connection =
+            PeerConnection::new(connection, self.watch.clone(), Arc::clone(&self.control));
         let queued = self.peers().connected(peer, Direction::Incoming, &connection);
         self.serve(peer, connection, queued).await;
     }
