Show the planner in status

Cause: the field planner of the status was always empty.

Change: a relay learns the holder of the planner's lease and the end of that lease from the store's answer to its own bid, and names it until then.

--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -113,6 +113,8 @@
     liveness: sync::Mutex<liveness::PeerLiveness>,
     gates: sync::Mutex<configuration::VersionGates>,
     announced_expiries: sync::Mutex<HashSet<ident::LeaseId>>,
+    /// Holder of the planner's lease and the end of that lease, from the last answer of the store.
+    planner: sync::Mutex<Option<(ident::IncarnationId, time::Instant)>>,
     works: sync::Mutex<HashMap<ownership::WorkId, CancellationToken>>,
     random: sync::Mutex<fastrand::Rng>,
 }
@@ -169,6 +171,7 @@
             )),
             gates: sync::Mutex::default(),
             announced_expiries: sync::Mutex::default(),
+            planner: sync::Mutex::default(),
             works: sync::Mutex::default(),
             random: sync::Mutex::new(fastrand::Rng::with_seed(parts.seed)),
             identity: parts.identity,
@@ -330,6 +333,18 @@
         announced.insert(lease)
     }
 
+    /// Notes who holds the planner's lease and until when.
+    pub(crate) fn set_planner(&self, planner: Option<(ident::IncarnationId, time::Instant)>) {
+        *lock(&self.planner) = planner;
+    }
+
+    /// The node that holds the planner's lease, if the store said so and its lease hasn't ended.
+    pub(crate) fn planner(&self) -> Option<ident::IncarnationId> {
+        let now = self.clock.now();
+        let known = *lock(&self.planner);
+        known.filter(|(_, until)| now < *until).map(|(planner, _)| planner)
+    }
+
     /// A token that is cancelled when this work has to end.
     pub(crate) fn track_work(&self, work: ownership::WorkId) -> CancellationToken {
         let token = CancellationToken::new();
--- a/crates/node/src/oversight.rs
+++ b/crates/node/src/oversight.rs
@@ -243,6 +243,14 @@
     operators::ChangeError::StoreUnavailable { reason: error.to_string() }
 }
 
+fn name_of(
+    document: &assignment::AssignmentDocument,
+    incarnation: ident::IncarnationId,
+) -> Option<Arc<str>> {
+    let key = document.member_key(incarnation)?;
+    Some(Arc::clone(&document.member(key).name))
+}
+
 fn class_owners(
     document: &assignment::AssignmentDocument,
     slices: &assignment::ClassSlices,
@@ -284,7 +292,7 @@
             lowest_revision: revisions.and_then(|revisions| revisions.into_iter().min()),
             epoch,
             store_seen: context.versions().has_seen_store(),
-            planner: None,
+            planner: context.planner().and_then(|planner| name_of(&document, planner)),
             draining: context.is_draining(),
             nodes,
             classes: self.class_owners(&document),
@@ -376,9 +384,6 @@
     };
     let slice = document.slice(slice_key);
     let route = context.ownership().route(slice_key);
-    let name_of = |incarnation: &ident::IncarnationId| {
-        document.member_key(*incarnation).map(|key| Arc::clone(&document.member(key).name))
-    };
     let chain = slice.chain.iter().map(|lease| {
         let holder = document.holder(*lease);
         report::ChainReport {
@@ -394,7 +399,7 @@
         hash: format!("{:016x}", hash.0),
         slice: format!("{:016x}", slice.start.0),
         epoch: document.epoch,
-        owner: route.first().and_then(name_of),
+        owner: route.first().and_then(|holder| name_of(&document, *holder)),
         settled: slice.previous.is_empty(),
         since: slice.since,
         chain: chain.collect(),
--- a/crates/node/src/planning.rs
+++ b/crates/node/src/planning.rs
@@ -216,6 +216,15 @@
         context.meter.store_call();
         let answer = context.store.acquire_lease(&key, &holder, LEASE_TTL).await?;
         let is_held = answer == store::LeaseAnswer::Held;
+        let (planner, remaining) = match &answer {
+            store::LeaseAnswer::Held => (Some(context.identity.incarnation), LEASE_TTL),
+            store::LeaseAnswer::HeldByOther { holder, remaining } => {
+                let holder = u64::from_str_radix(holder, 16);
+                (holder.ok().map(ident::IncarnationId), *remaining)
+            }
+        };
+        let until = asked + time::Duration(remaining.as_micros() as u64);
+        context.set_planner(planner.map(|planner| (planner, until)));
         if is_held && self.held_until.is_none() {
             log::info!("this node plans region {}", context.identity.region);
         }
@@ -228,7 +237,9 @@
         if self.held_until.take().is_none() {
             return;
         }
+        context.set_planner(None);
         let holder = context.identity.incarnation.to_string();
+        context.meter.store_call();
         if let Err(error) = context.store.release_lease(&lease_key(context), &holder).await {
             log::debug!("planner's lease not given back, it lapses: {error}");
         }
--- a/crates/standin/tests/metrics.rs
+++ b/crates/standin/tests/metrics.rs
@@ -1,13 +1,15 @@
-//! Metrics of a running deployment.
+//! Metrics and status of a running deployment.
 
 #![allow(clippy::unwrap_used, clippy::panic)]
 
 mod support;
 
+use bytes::Bytes;
 use cornelridge::{metering, node};
-use cornelridge_standin::payload;
+use cornelridge_standin::{mesh, payload};
+use http_body_util::Full;
 
-use support::{KEYED, call, get, run, single, start, until};
+use support::{KEYED, POLL, call, get, run, single, start, until};
 
 /// The value of each sample of a metric, with its labels.
 fn samples(text: &str, name: &str) -> Vec<(String, f64)> {
@@ -50,6 +52,12 @@
     names
 }
 
+fn operator_get(path: &str, headers: &[(&str, &str)]) -> http::Request<Full<Bytes>> {
+    let mut request = get("", headers);
+    *request.uri_mut() = path.parse().unwrap();
+    request
+}
+
 /// A metric that is declared and never recorded shows operators nothing, without an error.
 #[test]
 fn every_declared_metric_is_recorded_with_its_labels() {
@@ -101,3 +109,32 @@
         mesh.nodes().for_each(node::NodeHandle::stop);
     });
 }
+
+/// Operators must see which node plans, whichever relay they ask. The lease may change hands on a
+/// slow machine, so that each answer is compared with the holder at that moment.
+#[test]
+fn status_names_the_holder_of_the_planners_lease() {
+    run(async {
+        let mesh = start(single(KEYED, 3)).await;
+        let key = format!("planner/{}", mesh.deployment.region);
+        let bearer = format!("Bearer {}", mesh::OPERATOR_TOKEN);
+        let headers = [("authorization", &*bearer)];
+        // With one node in each zone, all nodes are relays and bid for the lease.
+        for node in mesh.nodes() {
+            loop {
+                let holder = mesh.store.lease_holder(&key);
+                let is_planner = |node: &&node::NodeHandle| {
+                    holder.as_ref().is_some_and(|name| *name == node.incarnation().to_string())
+                };
+                let planner = mesh.nodes().find(is_planner).map(|node| node.name().to_string());
+                let reply = call(node.operator_address, operator_get("/status", &headers)).await;
+                let named = reply.unwrap().json()["planner"].as_str().map(str::to_owned);
+                if planner.is_some() && named == planner {
+                    break;
+                }
+                smol::Timer::after(POLL).await;
+            }
+        }
+        mesh.nodes().for_each(node::NodeHandle::stop);
+    });
+}
