--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -28,6 +28,7 @@
 use crate::oversight;
 use crate::peers;
 use crate::planning;
+use crate::sampling;
 use crate::serving;
 use crate::settings;
 
@@ -56,11 +57,6 @@
     /// Certificates can't be used.
     #[error(transparent)]
     Identity(#[from] identity::IdentityError),
-    /// No identity for a local trial was given.
-    #[error(
-        "a local trial needs an identity in the process; give --tls-ca, --tls-certificate and --tls-key"
-    )]
-    NoIdentity,
 }
 
 /// A running node.
@@ -77,7 +73,7 @@
     pub operator_address: net::SocketAddr,
 }
 
-/// Reads the identity of a node from the files in its settings.
+/// Reads the identity of a node from the files in its settings, or makes one for a local trial.
 pub fn read_identity(
     settings: &settings::NodeSettings,
 ) -> Result<identity::TlsIdentity, StartError> {
@@ -85,7 +81,9 @@
         settings::PeerTrust::TlsFiles { ca, certificate, key } => {
             Ok(identity::TlsIdentity::from_pem_files(certificate, key, ca)?)
         }
-        settings::PeerTrust::InsecureLocalTrial => Err(StartError::NoIdentity),
+        settings::PeerTrust::InsecureLocalTrial => {
+            Ok(identity::TlsIdentity::insecure_local_trial(&settings.node)?)
+        }
     }
 }
 
@@ -131,6 +129,10 @@
         let store = client::StoreClient::new(client::StoreSettings::new(settings.store_address));
         let stop = CancellationToken::new();
         let mut random = fastrand::Rng::new();
+        // Handles made before the recorder is installed would record nothing.
+        if let Err(error) = metering::install() {
+            log::warn!("no metrics: {error}");
+        }
         let context = Arc::new(context::NodeContext::new(context::ContextParts {
             identity: context::NodeIdentity {
                 name: Arc::clone(&settings.node),
@@ -146,9 +148,6 @@
             advertised: settings.peer_advertised.unwrap_or(peer_address),
             seed: random.u64(..),
         }));
-        if let Err(error) = metering::install() {
-            log::warn!("no metrics: {error}");
-        }
         let drain_limit = time::Duration(settings.drain_limit.as_micros() as u64);
         let handle = NodeHandle {
             context,
@@ -181,6 +180,7 @@
         executor.spawn(configuration::follow(node(), configuration::DocumentKind::Assignment));
         executor.spawn(planning::registration(node()));
         executor.spawn(planning::run(node()));
+        executor.spawn(sampling::run(node()));
         planning::register(context);
     }
 
--- a/crates/node/src/oversight.rs
+++ b/crates/node/src/oversight.rs
@@ -114,6 +114,7 @@
                 write::WriteStep::Put { if_match, at } => {
                     context.sleep_until(at).await;
                     let expected = store::StoreRevision(if_match);
+                    context.meter.store_call();
                     let put = context.store.put(key, expected, value.clone()).await;
                     let answer = match put {
                         Ok(revision) => write::PutAnswer::Written(revision.0),
@@ -124,6 +125,7 @@
                 }
                 write::WriteStep::Read { at } => {
                     context.sleep_until(at).await;
+                    context.meter.store_call();
                     let answer = match context.store.get(key).await {
                         Ok(Some(found)) => write::ReadAnswer::Found {
                             revision: found.revision.0,
@@ -145,6 +147,7 @@
         let context = &self.context;
         let kind = configuration::DocumentKind::Classes;
         let key = kind.store_key(&context.identity.region);
+        context.meter.store_call();
         let stored = context.store.get(&key).await.map_err(|error| unavailable(&error))?;
         let base = stored.as_ref().map_or(store::StoreRevision(0), |value| value.revision);
         let current =
@@ -194,6 +197,7 @@
         let failed = |error: store::StoreError| operators::RetireError::StoreUnavailable {
             reason: error.to_string(),
         };
+        context.meter.store_call();
         let stored = context.store.get(&key).await.map_err(failed)?;
         let decoded = stored.and_then(|value| {
             let document = document::decode_assignment(&value.value).ok()?;
@@ -239,6 +243,14 @@
     operators::ChangeError::StoreUnavailable { reason: error.to_string() }
 }
 
+fn name_of(
+    document: &assignment::AssignmentDocument,
+    incarnation: ident::IncarnationId,
+) -> Option<Arc<str>> {
+    let key = document.member_key(incarnation)?;
+    Some(Arc::clone(&document.member(key).name))
+}
+
 fn class_owners(
     document: &assignment::AssignmentDocument,
     slices: &assignment::ClassSlices,
@@ -280,7 +292,7 @@
             lowest_revision: revisions.and_then(|revisions| revisions.into_iter().min()),
             epoch,
             store_seen: context.versions().has_seen_store(),
-            planner: None,
+            planner: context.planner().and_then(|planner| name_of(&document, planner)),
             draining: context.is_draining(),
             nodes,
             classes: self.class_owners(&document),
@@ -372,9 +384,6 @@
     };
     let slice = document.slice(slice_key);
     let route = context.ownership().route(slice_key);
-    let name_of = |incarnation: &ident::IncarnationId| {
-        document.member_key(*incarnation).map(|key| Arc::clone(&document.member(key).name))
-    };
     let chain = slice.chain.iter().map(|lease| {
         let holder = document.holder(*lease);
         report::ChainReport {
@@ -390,7 +399,7 @@
         hash: format!("{:016x}", hash.0),
         slice: format!("{:016x}", slice.start.0),
         epoch: document.epoch,
-        owner: route.first().and_then(name_of),
+        owner: route.first().and_then(|holder| name_of(&document, *holder)),
         settled: slice.previous.is_empty(),
         since: slice.since,
         chain: chain.collect(),
--- a/crates/wire/src/transport.rs
+++ b/crates/wire/src/transport.rs
@@ -14,7 +14,7 @@
 use thiserror::Error;
 
 use crate::codec;
-use crate::connection::{INITIAL_STREAMS, MAX_STREAMS, PeerConnection};
+use crate::connection::{ControlBytes, INITIAL_STREAMS, MAX_STREAMS, PeerConnection};
 use crate::generated;
 use crate::identity;
 use crate::peers::{Direction, PeerTable, Route};
@@ -98,6 +98,10 @@
     pub handshakes: usize,
     /// Received datagrams that were dropped since the start because the receiver was behind.
     pub dropped_datagrams: u64,
+    /// Bytes of control messages and document frames sent since the start.
+    pub control_sent: u64,
+    /// Bytes of control messages and document frames received since the start.
+    pub control_received: u64,
 }
 
 /// A QUIC endpoint that connects to peers and accepts their connections; cheap to clone.
@@ -120,6 +124,7 @@
     watch: channel::Sender<Arc<PeerConnection>>,
     handshakes: AtomicUsize,
     dropped_datagrams: AtomicU64,
+    control: Arc<ControlBytes>,
 }
 
 #[derive(Debug)]
@@ -137,6 +142,9 @@
     /// Opens the socket and starts to accept peers.
     pub fn bind(settings: EndpointSettings) -> Result<NodeEndpoint, TransportError> {
         let EndpointSettings { listen, identity } = settings;
+        if identity.accepts_any() && !listen.ip().is_loopback() {
+            return Err(TransportError::ExposedTrial { listen });
+        }
         let failed = |source| TransportError::Bind { listen, source };
         let socket = net::UdpSocket::bind(listen).map_err(failed)?;
         let endpoint = quinn::Endpoint::new(
@@ -157,6 +165,7 @@
             watch,
             handshakes: AtomicUsize::new(0),
             dropped_datagrams: AtomicU64::new(0),
+            control: Arc::default(),
         });
         smol::spawn(accept(Arc::clone(&shared))).detach();
         smol::spawn(watchdog::watch(watched)).detach();
@@ -185,6 +194,8 @@
             connections: self.connections(),
             handshakes: self.shared.handshakes.load(Ordering::Relaxed),
             dropped_datagrams: self.shared.dropped_datagrams.load(Ordering::Relaxed),
+            control_sent: self.shared.control.sent.load(Ordering::Relaxed),
+            control_received: self.shared.control.received.load(Ordering::Relaxed),
         }
     }
 
@@ -299,7 +310,8 @@
                 return;
             }
         };
-        let connection = PeerConnection::new(connection, self.watch.clone());
+        let connection =
+            PeerConnection::new(connection, self.watch.clone(), Arc::clone(&self.control));
         let queued = self.peers().connected(peer, Direction::Outgoing, &connection);
         drop(sign);
         self.serve(peer, connection, queued).await;
@@ -341,7 +353,8 @@
             connection.close(CODE_NOT_A_NODE, b"not a node");
             return;
         }
-        let connection = PeerConnection::new(connection, self.watch.clone());
+        let connection =
+            PeerConnection::new(connection, self.watch.clone(), Arc::clone(&self.control));
         let queued = self.peers().connected(peer, Direction::Incoming, &connection);
         self.serve(peer, connection, queued).await;
     }
@@ -444,6 +457,12 @@
         /// Reason given by the operating system.
         source: io::Error,
     },
+    /// An identity that accepts any peer would be used on an address that other hosts reach.
+    #[error("cannot listen on {listen} without verifying peers: use a loopback address")]
+    ExposedTrial {
+        /// The address.
+        listen: net::SocketAddr,
+    },
     /// There is no connection to the peer.
     #[error("cannot connect to {peer} ({reason}): use another node")]
     Unreachable {
@@ -492,7 +511,9 @@
     /// frame says nothing about earlier frames, so it counts as `true`.
     pub fn may_have_reached_peer(&self) -> bool {
         match self {
-            TransportError::Bind { .. } | TransportError::Unreachable { .. } => false,
+            TransportError::Bind { .. }
+            | TransportError::ExposedTrial { .. }
+            | TransportError::Unreachable { .. } => false,
             TransportError::ConnectionLost { sent, .. }
             | TransportError::Refused { sent, .. }
             | TransportError::StreamEnded { sent } => *sent,
