Estimate the wait from the slots that serve a class

Cause: the expected wait used the mean service time of all classes and every slot of the limit, so downloads made short requests be refused that would have been served in time, and downloads expected slots that are kept from them. Change: the time to the next free slot follows from the running requests by class; work ahead is divided by the slots open to the class.

--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -1,6 +1,6 @@
 //! State machine of the queue in front of one upstream.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use cornelridge_model::time;
 
@@ -47,6 +47,7 @@
     limit: limit::ConcurrencyLimit,
     running: HashMap<admission::RequestId, RunningRequest>,
     running_bulk: usize,
+    running_classes: BTreeMap<admission::ClassIndex, u32>,
     running_alone: bool,
     suspects: suspects::SuspectLane,
     paused_until: time::Instant,
@@ -70,6 +71,7 @@
             limit,
             running: HashMap::new(),
             running_bulk: 0,
+            running_classes: BTreeMap::new(),
             running_alone: false,
             suspects: suspects::SuspectLane::new(now),
             paused_until: now,
@@ -338,11 +340,15 @@
 
     /// Bulk work never occupies the last quarter of the slots, but may use an only slot. It also
     /// leaves the slots that lower ranks need, because it holds a slot for long once it runs.
-    fn has_bulk_slot(&self, now: time::Instant, yield_rank: u8) -> bool {
+    fn bulk_slots(&self, now: time::Instant, yield_rank: u8) -> usize {
         let limit = self.limit(now) as usize;
         let allowed = (limit - limit.div_ceil(BULK_RESERVE)).max(1);
         let needed = (self.demand.below(now, yield_rank) * DEMAND_MARGIN).ceil() as usize;
-        self.running_bulk < allowed.min(limit.saturating_sub(needed))
+        allowed.min(limit.saturating_sub(needed))
+    }
+
+    fn has_bulk_slot(&self, now: time::Instant, yield_rank: u8) -> bool {
+        self.running_bulk < self.bulk_slots(now, yield_rank)
     }
 
     fn pop(&mut self, now: time::Instant) -> Option<backlog::WaitingRequest> {
@@ -366,6 +372,7 @@
             self.progress = self.progress.max(now);
         }
         self.running_bulk += usize::from(request.bulk);
+        *self.running_classes.entry(request.class).or_default() += 1;
         self.running_alone |= request.alone;
         self.running.insert(request.id, RunningRequest { request, dispatched: now });
     }
@@ -373,6 +380,7 @@
     fn end(&mut self, now: time::Instant, id: admission::RequestId) -> Option<RunningRequest> {
         let ended = self.running.remove(&id)?;
         self.running_bulk -= usize::from(ended.request.bulk);
+        self.running_classes.entry(ended.request.class).and_modify(|count| *count -= 1);
         if ended.request.alone {
             self.running_alone = false;
             self.forgive_wait(now);
@@ -464,11 +472,29 @@
             0.0 => overall_us,
             mean_us => mean_us,
         };
-        let slots = f64::from(self.limit(now));
-        let left = (slots - self.demand.below(now, request.yield_rank)).max(1.0);
-        let ahead_us = self.backlog.work_ahead_us(request, service_us) + overall_us;
-        let paused = self.paused_until.since(now);
-        time::Duration((ahead_us / left) as u64) + paused + self.stalled_for(now)
+        let ahead_us = self.backlog.work_ahead_us(request, service_us);
+        let next_us = self.next_slot_us(service_us);
+        let wait_us = ahead_us / self.open_slots(now, request) + next_us;
+        let held_back = self.paused_until.since(now) + self.stalled_for(now);
+        time::Duration(wait_us.round() as u64) + held_back
+    }
+
+    /// Mean time until one of the running requests ends.
+    fn next_slot_us(&self, service_us: impl Fn(admission::ClassIndex) -> f64) -> f64 {
+        let ends = |(class, count): (&admission::ClassIndex, &u32)| {
+            f64::from(*count) / service_us(*class).max(1.0)
+        };
+        let rate: f64 = self.running_classes.iter().map(ends).sum();
+        if rate > 0.0 { 1.0 / rate } else { 0.0 }
+    }
+
+    /// Slots that serve the work ahead of a request.
+    fn open_slots(&self, now: time::Instant, request: &admission::AdmissionRequest) -> f64 {
+        if request.bulk {
+            return self.bulk_slots(now, request.yield_rank).max(1) as f64;
+        }
+        let held = self.demand.below(now, request.yield_rank) + self.running_bulk as f64;
+        (f64::from(self.limit(now)) - held).max(1.0)
     }
 
     fn stalled_for(&self, now: time::Instant) -> time::Duration {
