Give each process of stand-ins a loopback address of its own

Cause: deployments close ports (a crashed upstream, a store that is down, a lost node). On 127.0.0.1 a server of another test process may take such a port and then receives requests of the first deployment. Seen with three test binaries at the same time: an upstream of a non-idempotent class executed a request without an idempotency key.

Change: upstreams, stores and nodes of a mesh bind an address in 127.1.0.0/10 that follows from the process id.

Conclusion: test processes that run at the same time no longer share addresses.

--- a/crates/standin/src/mesh.rs
+++ b/crates/standin/src/mesh.rs
@@ -118,8 +118,12 @@
         let token = settings::OperatorToken::new(OPERATOR_TOKEN)?;
         let region = self.deployment.region;
         let address = self.store.address();
-        let node =
+        let mut node =
             settings::NodeSettings::local_trial(&plan.name, region, plan.zone, address, token);
+        node.caller_address = host::free_port();
+        node.peer_address = host::free_port();
+        node.announce_address = host::free_port();
+        node.operator_address = host::free_port();
         let identity = self.authority.issue(&plan.name)?;
         Ok(node::NodeHandle::start(&node, identity).await?)
     }
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -115,7 +115,7 @@
 
     /// Starts an empty store that also stops when `cancel` is cancelled.
     pub fn start_with(host: &StandinHost, cancel: CancellationToken) -> io::Result<StoreServer> {
-        let listener = host::listen(([127, 0, 0, 1], 0).into())?;
+        let listener = host::listen(host::free_port())?;
         let address = listener.local_addr()?;
         let state = StoreState {
             values: BTreeMap::new(),
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -151,7 +151,7 @@
         settings: UpstreamSettings,
         cancel: CancellationToken,
     ) -> io::Result<UpstreamServer> {
-        let listener = host::listen(([127, 0, 0, 1], 0).into())?;
+        let listener = host::listen(host::free_port())?;
         let (announce_now, announce_requests) = channel::bounded(1);
         let state = Arc::new(UpstreamState {
             settings,
