Stop the nodes of a mesh when it is dropped

Cause: the tasks of a node outlive its handle. Tests that start one mesh after another left all earlier nodes running on the same executor thread, where they sought their lost stores and peers. Leases of later deployments lapsed: the_loss_of_another_node_disturbs_no_request_in_flight failed in 4 of 4 runs of the whole file, and a trace showed all leases lost in the same millisecond.

Change: dropping a mesh stops its nodes.

--- a/crates/standin/src/mesh.rs
+++ b/crates/standin/src/mesh.rs
@@ -68,6 +68,13 @@
     authority: identity::TrialAuthority,
 }
 
+impl Drop for Mesh {
+    fn drop(&mut self) {
+        // The tasks of a node outlive its handle, and would go on beside the next deployment.
+        self.hosts.iter_mut().filter_map(|host| host.node.take()).for_each(|node| node.stop());
+    }
+}
+
 /// Changes the settings of an upstream before it starts.
 pub type UpstreamTuning = fn(&mut upstream::UpstreamSettings);
 
