Close callers that send nothing

Cause: the header timeout of hyper starts after the HTTP version has been detected, so a caller that sends no byte held its connection for good. half_open_callers_disturb_nobody hung on such connections.

--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -3,11 +3,12 @@
 use std::convert;
 use std::net;
 use std::sync::Arc;
+use std::sync::atomic;
 
 use bytes::Bytes;
 use cornelridge_model::class;
 use cornelridge_model::time;
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, future};
 use http::{HeaderMap, HeaderValue, Request, Response, header};
 use hyper::body::{self, Body};
 use hyper::service;
@@ -83,7 +84,10 @@
         .max_header_list_size(MAX_HEADER_BYTES as u32)
         .max_concurrent_streams(MAX_HTTP2_STREAMS);
     let closing = context.closing.clone();
+    let has_request = Arc::new(atomic::AtomicBool::new(false));
+    let silent = silence(Arc::clone(&context), Arc::clone(&has_request));
     let service = service::service_fn(move |request| {
+        has_request.store(true, atomic::Ordering::Relaxed);
         let context = Arc::clone(&context);
         async move { Ok::<_, convert::Infallible>(handle(&context, peer, request).await) }
     });
@@ -99,7 +103,7 @@
         }
         true
     };
-    if ended.or(is_closing).await {
+    if ended.or(silent).or(is_closing).await {
         return;
     }
     // Requests in flight still get their answers; the connection closes after them.
@@ -109,6 +113,16 @@
     }
 }
 
+/// Ends when no request has begun in time. The timeout of `hyper` starts only after the HTTP
+/// version is known, so it doesn't cover a caller that sends nothing.
+async fn silence(context: Arc<context::NodeContext>, has_request: Arc<atomic::AtomicBool>) -> bool {
+    context.sleep(HEADER_READ_TIMEOUT).await;
+    if has_request.load(atomic::Ordering::Relaxed) {
+        return future::pending().await;
+    }
+    true
+}
+
 async fn handle(
     context: &Arc<context::NodeContext>,
     peer: net::SocketAddr,
