--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -4,6 +4,7 @@
 use std::convert;
 use std::net;
 use std::sync::Arc;
+use std::sync::atomic;
 
 use bytes::Bytes;
 use cornelridge_model::class;
@@ -87,7 +88,10 @@
         .max_header_list_size(MAX_HEADER_BYTES as u32)
         .max_concurrent_streams(MAX_HTTP2_STREAMS);
     let closing = context.closing.clone();
+    let has_request = Arc::new(atomic::AtomicBool::new(false));
+    let silent = silence(Arc::clone(&context), Arc::clone(&has_request));
     let service = service::service_fn(move |request| {
+        has_request.store(true, atomic::Ordering::Relaxed);
         let context = Arc::clone(&context);
         // A task of its own: hyper tries to read from the socket whenever its connection is polled,
         // which must not happen at each step of a request.
@@ -106,7 +110,7 @@
         }
         true
     };
-    if ended.or(is_closing).await {
+    if ended.or(silent).or(is_closing).await {
         return;
     }
     // Requests in flight still get their answers; the connection closes after them.
@@ -116,6 +120,16 @@
     }
 }
 
+/// Ends when no request has begun in time. The timeout of `hyper` starts only after the HTTP
+/// version is known, so it doesn't cover a caller that sends nothing.
+async fn silence(context: Arc<context::NodeContext>, has_request: Arc<atomic::AtomicBool>) -> bool {
+    context.sleep(HEADER_READ_TIMEOUT).await;
+    if has_request.load(atomic::Ordering::Relaxed) {
+        return future::pending().await;
+    }
+    true
+}
+
 async fn handle(
     context: &Arc<context::NodeContext>,
     peer: net::SocketAddr,
--- a/crates/standin/src/mesh.rs
+++ b/crates/standin/src/mesh.rs
@@ -68,6 +68,13 @@
     authority: identity::TrialAuthority,
 }
 
+impl Drop for Mesh {
+    fn drop(&mut self) {
+        // The tasks of a node outlive its handle, and would go on beside the next deployment.
+        self.hosts.iter_mut().filter_map(|host| host.node.take()).for_each(|node| node.stop());
+    }
+}
+
 /// Changes the settings of an upstream before it starts.
 pub type UpstreamTuning = fn(&mut upstream::UpstreamSettings);
 
@@ -118,8 +125,12 @@
         let token = settings::OperatorToken::new(OPERATOR_TOKEN)?;
         let region = self.deployment.region;
         let address = self.store.address();
-        let node =
+        let mut node =
             settings::NodeSettings::local_trial(&plan.name, region, plan.zone, address, token);
+        node.caller_address = host::free_port();
+        node.peer_address = host::free_port();
+        node.announce_address = host::free_port();
+        node.operator_address = host::free_port();
         let identity = self.authority.issue(&plan.name)?;
         Ok(node::NodeHandle::start(&node, identity).await?)
     }
