--- /dev/null
+++ b/crates/standin/examples/bench/config.rs
@@ -0,0 +1,208 @@
+//! Time from a change of a class until every node has it in force.
+
+use std::net;
+use std::time;
+
+use cornelridge_model::ident;
+use cornelridge_standin::deployment;
+use cornelridge_standin::mesh;
+use futures_lite::future;
+
+use crate::figure;
+use crate::operators;
+use crate::trial;
+
+/// Rounds of changes.
+const ROUNDS: u64 = 12;
+/// Operators that change different classes at the same time through different nodes.
+const OPERATORS: u64 = 3;
+/// Each round with this number of rounds before it, modulo this, loses answers of the store.
+const LOST_ANSWER_ROUNDS: u64 = 3;
+/// Answers to writes that the store loses in such a round.
+const LOST_ANSWERS: u32 = 2;
+/// Pause between two looks at the revisions.
+const POLL: time::Duration = time::Duration::from_millis(1);
+/// Attempts of an operator before it gives up.
+const ATTEMPTS: u32 = 50;
+/// Pause of an operator after a conflict.
+const CONFLICT_PAUSE: time::Duration = time::Duration::from_millis(20);
+/// Time that a configuration may take to be in force everywhere.
+const LIMIT: time::Duration = time::Duration::from_secs(6);
+/// Time after which a revision that isn't in force everywhere is given up.
+const GIVE_UP: time::Duration = time::Duration::from_secs(30);
+
+/// An accepted change.
+#[derive(Clone, Copy, Debug)]
+struct AcceptedChange {
+    revision: ident::RevisionNumber,
+    sent: time::Instant,
+    accepted: time::Instant,
+    conflicts: u64,
+}
+
+/// Watches the revision of each node.
+#[derive(Debug)]
+struct RevisionWatch {
+    highest: Vec<ident::RevisionNumber>,
+    /// When each revision was first in force on every node.
+    in_force: Vec<(ident::RevisionNumber, time::Instant)>,
+    reverts: u64,
+}
+
+/// Changes classes through several nodes at the same time.
+pub(crate) fn run(_args: &[String]) -> Result<(), String> {
+    smol::block_on(measure())
+}
+
+async fn measure() -> Result<(), String> {
+    let mesh = trial::start(deployment::Deployment::bogota(), |_| {}).await?;
+    let mut watch = RevisionWatch::new(&mesh);
+    let mut changes = Vec::new();
+    for round in 0..ROUNDS {
+        if round % LOST_ANSWER_ROUNDS == LOST_ANSWER_ROUNDS - 1 {
+            mesh.store.lose_answers(LOST_ANSWERS);
+        }
+        changes.extend(change_round(&mesh, &mut watch, round).await?);
+    }
+    report(&mesh, &watch, &changes).await
+}
+
+/// Lets the operators of one round make their changes and waits until all are in force.
+async fn change_round(
+    mesh: &mesh::Mesh,
+    watch: &mut RevisionWatch,
+    round: u64,
+) -> Result<Vec<AcceptedChange>, String> {
+    let nodes: Vec<_> = mesh.nodes().map(|node| node.operator_address).collect();
+    let tasks: Vec<_> = (0..OPERATORS)
+        .map(|operator| {
+            let node = nodes[(round + operator * 4) as usize % nodes.len()];
+            let class = mesh.deployment.classes[operator as usize].config.name.to_string();
+            smol::spawn(change(node, class, deadline_of(round)))
+        })
+        .collect();
+    let begun = time::Instant::now();
+    let accepted = async {
+        let mut accepted = Vec::new();
+        for task in tasks {
+            accepted.push(task.await?);
+        }
+        Ok::<_, String>(accepted)
+    };
+    let mut accepted = Box::pin(accepted);
+    let mut changes: Option<Vec<AcceptedChange>> = None;
+    loop {
+        watch.look(mesh);
+        if changes.is_none() {
+            changes = future::poll_once(&mut accepted).await.transpose()?;
+        }
+        if let Some(changes) = &changes
+            && changes.iter().all(|change| watch.time_of(change.revision).is_some())
+        {
+            return Ok(changes.clone());
+        }
+        if begun.elapsed() > GIVE_UP {
+            return Err(format!("round {round}: not in force everywhere within {GIVE_UP:?}"));
+        }
+        smol::Timer::after(POLL).await;
+    }
+}
+
+/// The deadline that the operators of a round set; each round has another one.
+fn deadline_of(round: u64) -> u64 {
+    10_000 + round
+}
+
+/// Reads the configuration and changes one class, again after each conflict.
+async fn change(
+    node: net::SocketAddr,
+    class: String,
+    deadline_ms: u64,
+) -> Result<AcceptedChange, String> {
+    for conflicts in 0..ATTEMPTS {
+        let document = operators::classes(node).await?;
+        let mut config = document.class(&class).ok_or("the class is gone")?.clone();
+        config.deadline_ms = deadline_ms;
+        let sent = time::Instant::now();
+        match operators::put_class(node, &config, document.revision).await? {
+            operators::ChangeAnswer::Accepted(revision) => {
+                let (accepted, conflicts) = (time::Instant::now(), u64::from(conflicts));
+                return Ok(AcceptedChange { revision, sent, accepted, conflicts });
+            }
+            operators::ChangeAnswer::Conflict => {
+                smol::Timer::after(CONFLICT_PAUSE).await;
+            }
+            operators::ChangeAnswer::Failed(status, text) => {
+                return Err(format!("change of {class} failed: {status} {text}"));
+            }
+        }
+    }
+    Err(format!("class {class} could not be changed in {ATTEMPTS} attempts"))
+}
+
+async fn report(
+    mesh: &mesh::Mesh,
+    watch: &RevisionWatch,
+    changes: &[AcceptedChange],
+) -> Result<(), String> {
+    let spans = |from: fn(&AcceptedChange) -> time::Instant| {
+        let span = |change: &AcceptedChange| {
+            let until = watch.time_of(change.revision);
+            until.map(|until| until.saturating_duration_since(from(change)))
+        };
+        changes.iter().filter_map(span).collect::<Vec<_>>()
+    };
+    let in_force = spans(|change| change.sent);
+    figure::print_span("config.in_force.max", figure::longest(&in_force));
+    figure::print_span("config.in_force.median", figure::median(&in_force));
+    let since_accepted = spans(|change| change.accepted);
+    figure::print_span("config.in_force_after_accepted.max", figure::longest(&since_accepted));
+    figure::print_count("config.reverts", watch.reverts);
+    figure::print_count("config.changes", changes.len() as u64);
+    let conflicts = changes.iter().map(|change| change.conflicts).sum();
+    figure::print_count("config.conflicts", conflicts);
+    let lost = lost_changes(mesh).await?;
+    figure::print_count("config.lost_changes", lost);
+    let longest = figure::longest(&in_force);
+    if longest > LIMIT || watch.reverts > 0 || lost > 0 {
+        return Err("a bound of the specification is broken".to_owned());
+    }
+    Ok(())
+}
+
+/// Classes that don't have the last accepted change on some node.
+async fn lost_changes(mesh: &mesh::Mesh) -> Result<u64, String> {
+    let mut lost = 0;
+    for node in mesh.nodes() {
+        let document = operators::classes(node.operator_address).await?;
+        let is_lost = |class: &&cornelridge_model::class::ClassConfig| {
+            class.deadline_ms != deadline_of(ROUNDS - 1)
+        };
+        lost += document.classes.iter().filter(is_lost).count() as u64;
+    }
+    Ok(lost)
+}
+
+impl RevisionWatch {
+    fn new(mesh: &mesh::Mesh) -> RevisionWatch {
+        let highest = mesh.nodes().map(|node| node.versions().1).collect();
+        RevisionWatch { highest, in_force: Vec::new(), reverts: 0 }
+    }
+
+    fn look(&mut self, mesh: &mesh::Mesh) {
+        for (node, highest) in mesh.nodes().zip(&mut self.highest) {
+            let revision = node.versions().1;
+            self.reverts += u64::from(revision < *highest);
+            *highest = revision;
+        }
+        let lowest = self.highest.iter().min().copied().unwrap_or_default();
+        if self.in_force.last().is_none_or(|(last, _)| *last < lowest) {
+            self.in_force.push((lowest, time::Instant::now()));
+        }
+    }
+
+    /// When this revision or a later one was in force on every node.
+    fn time_of(&self, revision: ident::RevisionNumber) -> Option<time::Instant> {
+        self.in_force.iter().find(|(seen, _)| *seen >= revision).map(|(_, at)| *at)
+    }
+}
--- /dev/null
+++ b/crates/standin/examples/bench/drain.rs
@@ -0,0 +1,154 @@
+//! An upstream and a node leave under load.
+
+use std::sync::Arc;
+use std::time;
+
+use cornelridge_standin::caller;
+use cornelridge_standin::deployment;
+use cornelridge_standin::mesh;
+
+use crate::figure;
+use crate::trial;
+
+/// Time of the load before something leaves.
+const BEFORE: time::Duration = time::Duration::from_secs(2);
+/// Time of the load after something began to leave.
+const AFTER: time::Duration = time::Duration::from_secs(9);
+/// Time between two departures; the planner replaces each one before the next.
+const BETWEEN: time::Duration = time::Duration::from_secs(3);
+/// Requests a second of each class of small requests.
+const RATE: f64 = 100.0;
+/// Different keys; few, so that cold starts are over soon.
+const KEYS: u64 = 100;
+/// Downloads a second.
+const BULK_RATE: f64 = 4.0;
+/// Bytes of a download.
+const BULK_BYTES: u64 = 1024 * 1024;
+/// Time of a request at the upstream; longer than the usual one, so that many are in flight.
+const SERVICE_TIME: time::Duration = time::Duration::from_millis(30);
+/// Time after the announcement from which a leaving upstream must get no work.
+const GRACE: time::Duration = time::Duration::from_secs(2);
+/// Time in which a mesh must be whole.
+const SETTLE_LIMIT: time::Duration = time::Duration::from_secs(20);
+
+/// What leaves, and how.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Departure {
+    /// The upstream announces that it leaves.
+    Upstream,
+    /// The node leaves.
+    Node,
+    /// The baseline: the host is lost without a word.
+    Crash,
+}
+
+/// What one departure did.
+#[derive(Clone, Copy, Debug, Default)]
+struct DepartureReport {
+    requests: u64,
+    cut_off: u64,
+    refused: u64,
+    late_work: u64,
+}
+
+/// Lets an upstream and a node of each class leave, and loses a host for comparison.
+pub(crate) fn run(_args: &[String]) -> Result<(), String> {
+    let mut sum = DepartureReport::default();
+    for departure in [Departure::Upstream, Departure::Node] {
+        let report = smol::block_on(measure(departure))?;
+        let name = format!("drain.{departure:?}").to_lowercase();
+        figure::print_count(&format!("{name}.cut_off"), report.cut_off);
+        figure::print_count(&format!("{name}.not_run"), report.refused);
+        figure::print_count(&format!("{name}.late_work"), report.late_work);
+        sum.requests += report.requests;
+        sum.cut_off += report.cut_off;
+        sum.late_work += report.late_work;
+    }
+    figure::print_count("drain.cut_off", sum.cut_off);
+    figure::print_count("drain.late_work", sum.late_work);
+    figure::print_count("drain.requests", sum.requests);
+    let crash = smol::block_on(measure(Departure::Crash))?;
+    figure::print_count("drain.cut_off.crash", crash.cut_off);
+    if sum.cut_off > 0 || sum.late_work > 0 {
+        return Err(format!("{} cut off, {} late", sum.cut_off, sum.late_work));
+    }
+    Ok(())
+}
+
+async fn measure(departure: Departure) -> Result<DepartureReport, String> {
+    let mut mesh = trial::start(deployment::Deployment::bogota(), |upstream| {
+        upstream.service_time = SERVICE_TIME;
+    })
+    .await?;
+    mesh.settled(SETTLE_LIMIT).await.map_err(|error| error.to_string())?;
+    let loads = loads(&mesh);
+    let tasks: Vec<_> = loads.into_iter().map(|load| trial::background_load(&mesh, load)).collect();
+    smol::Timer::after(BEFORE).await;
+    // One host of each class leaves; the others still cover two zones of each class.
+    let classes: Vec<_> =
+        mesh.deployment.classes.iter().map(|class| Arc::clone(&class.config.name)).collect();
+    let leaving: Vec<_> = classes.iter().map(|class| mesh.hosts_of(class)[0]).collect();
+    let mut departed = Vec::new();
+    for host in leaving {
+        departed.push((host, time::Instant::now()));
+        let pause = smol::Timer::after(BETWEEN);
+        depart(&mut mesh, departure, host).await;
+        pause.await;
+    }
+    let mut report = DepartureReport::default();
+    for task in tasks {
+        let load = task.await.ok_or("no caller could be started")?;
+        println!(
+            "# {departure:?}: {:?} {:?} unconnected {}",
+            load.outcomes, load.statuses, load.unconnected
+        );
+        report.requests += load.total();
+        report.refused += load.count(caller::CallOutcome::NotRun);
+        // A request for which no connection could be made was never in flight.
+        let interrupted = load.total()
+            - load.count(caller::CallOutcome::Whole)
+            - load.count(caller::CallOutcome::NotRun)
+            - load.unconnected;
+        report.cut_off += interrupted;
+    }
+    let late = |(host, left_at): &(usize, time::Instant)| {
+        let executions = mesh.hosts[*host].upstream.executions();
+        let late = executions.iter().filter(|one| one.started > *left_at + GRACE);
+        late.count() as u64
+    };
+    report.late_work = departed.iter().map(late).sum();
+    Ok(report)
+}
+
+async fn depart(mesh: &mut mesh::Mesh, departure: Departure, host: usize) {
+    match departure {
+        Departure::Upstream => mesh.hosts[host].upstream.leave(),
+        Departure::Crash => mesh.lose_host(host),
+        Departure::Node => {
+            if let Some(node) = mesh.hosts[host].node.take() {
+                node.leave().await;
+            }
+        }
+    }
+}
+
+/// Load on every class, spread over all nodes.
+fn loads(mesh: &mesh::Mesh) -> Vec<caller::LoadSettings> {
+    let class = |(index, class): (usize, &deployment::ClassDeployment)| {
+        let config = &class.config;
+        let rate = if config.bulk { BULK_RATE } else { RATE };
+        let duration = BEFORE + AFTER;
+        caller::LoadSettings {
+            arrival: caller::ArrivalMode::Open(rate),
+            total: (rate * duration.as_secs_f64()) as u64,
+            duration,
+            connections: 40,
+            keys: KEYS,
+            idempotency_keys: !config.idempotent,
+            answer_bytes: if config.bulk { BULK_BYTES } else { class.answer_bytes },
+            first_id: 1 + index as u64 * 1_000_000,
+            ..caller::LoadSettings::new(mesh.caller_addresses(), &config.name)
+        }
+    };
+    mesh.deployment.classes.iter().enumerate().map(class).collect()
+}
--- a/crates/standin/examples/bench/main.rs
+++ b/crates/standin/examples/bench/main.rs
@@ -1,9 +1,14 @@
 //! Measures the system scenario by scenario; each line is `name value unit`.
 //!
-//! `--list` names the scenarios. A baseline of a figure is printed as `name.BASELINE value unit`.
+//! `--list` names the scenarios. `RUST_LOG` sets the log level of the nodes. A baseline of a figure is printed as `name.BASELINE value unit`.
 
+mod config;
+mod drain;
 mod figure;
+mod operators;
+mod owners;
 mod path;
+mod takeover;
 mod trial;
 
 use std::env;
@@ -16,13 +21,32 @@
     run: fn(&[String]) -> Result<(), String>,
 }
 
-const SCENARIOS: &[Scenario] = &[Scenario {
-    name: "path",
-    about: "latency and CPU time that two nodes add to a request",
-    run: path::run,
-}];
+const SCENARIOS: &[Scenario] = &[
+    Scenario {
+        name: "path",
+        about: "latency and CPU time that two nodes add to a request",
+        run: path::run,
+    },
+    Scenario {
+        name: "takeover",
+        about: "time without an owner after a host or only its node is lost",
+        run: takeover::run,
+    },
+    Scenario {
+        name: "config",
+        about: "time until a change of a class is in force on every node",
+        run: config::run,
+    },
+    Scenario {
+        name: "drain",
+        about: "requests cut off, and late work, when upstreams and nodes leave under load",
+        run: drain::run,
+    },
+];
 
 fn main() -> process::ExitCode {
+    // The handle ends the log when it is dropped.
+    let _logger = flexi_logger::Logger::try_with_env().and_then(flexi_logger::Logger::start);
     let args: Vec<String> = env::args().skip(1).collect();
     let result = match args.first().map(String::as_str) {
         None | Some("--list") => {
--- /dev/null
+++ b/crates/standin/examples/bench/owners.rs
@@ -0,0 +1,110 @@
+//! Samples who serves which key.
+
+use std::sync::Arc;
+use std::time;
+
+use cornelridge::node;
+use cornelridge_standin::mesh;
+
+/// Keys of each class that are sampled.
+const KEYS: u32 = 64;
+
+/// A sampled key.
+#[derive(Debug)]
+struct SampledKey {
+    class: Arc<str>,
+    key: String,
+    unowned_since: Option<time::Instant>,
+    longest: time::Duration,
+}
+
+/// Finds times without an owner and moments with two.
+#[derive(Debug)]
+pub(crate) struct OwnerSampler {
+    keys: Vec<SampledKey>,
+    last: time::Instant,
+    /// Longest time between two samples.
+    pub(crate) coarsest: time::Duration,
+    /// Times that two nodes were found serving the same key.
+    pub(crate) doubles: u64,
+}
+
+impl OwnerSampler {
+    /// Samples keys of every class whose requests go to owners.
+    pub(crate) fn new(mesh: &mesh::Mesh) -> OwnerSampler {
+        let sliced = mesh.deployment.classes.iter().filter(|class| class.config.is_sliced());
+        let keys = sliced.flat_map(|class| {
+            (0..KEYS).map(|key| SampledKey {
+                class: Arc::clone(&class.config.name),
+                key: format!("key-{key}"),
+                unowned_since: None,
+                longest: time::Duration::ZERO,
+            })
+        });
+        let (keys, last) = (keys.collect(), time::Instant::now());
+        OwnerSampler { keys, last, coarsest: time::Duration::ZERO, doubles: 0 }
+    }
+
+    /// Forgets the times so far; the next sample begins a new observation.
+    pub(crate) fn restart(&mut self) {
+        self.last = time::Instant::now();
+        for key in &mut self.keys {
+            key.unowned_since = None;
+            key.longest = time::Duration::ZERO;
+        }
+    }
+
+    /// Looks at each key once on all running nodes.
+    pub(crate) fn sample(&mut self, mesh: &mesh::Mesh) {
+        let begun = time::Instant::now();
+        self.coarsest = self.coarsest.max(begun - self.last);
+        // A key that is found unowned may have lost its owner right after the sample before.
+        let before = std::mem::replace(&mut self.last, begun);
+        for key in &mut self.keys {
+            let owners = owners(mesh, &key.class, key.key.as_bytes());
+            self.doubles += u64::from(owners.len() > 1);
+            if owners.is_empty() {
+                key.unowned_since.get_or_insert(before);
+                continue;
+            }
+            if let Some(since) = key.unowned_since.take() {
+                key.longest = key.longest.max(since.elapsed());
+            }
+        }
+    }
+
+    /// The host that serves one of the sampled keys; further numbers give other keys.
+    pub(crate) fn owner(&self, mesh: &mesh::Mesh, number: usize) -> Option<usize> {
+        // A step without a factor in common with the number of keys reaches both classes in turn.
+        let key = &self.keys[number.wrapping_mul(67) % self.keys.len()];
+        mesh.owner(&key.class, key.key.as_bytes())
+    }
+
+    /// Whether the last sample found an owner for each key.
+    pub(crate) fn is_owned(&self) -> bool {
+        self.keys.iter().all(|key| key.unowned_since.is_none())
+    }
+
+    /// Longest time without an owner of any key.
+    pub(crate) fn longest(&self) -> time::Duration {
+        let unowned = |key: &SampledKey| {
+            key.unowned_since.map_or(key.longest, |since| key.longest.max(since.elapsed()))
+        };
+        self.keys.iter().map(unowned).max().unwrap_or_default()
+    }
+}
+
+/// The nodes that serve a key at the same time.
+fn owners<'a>(mesh: &'a mesh::Mesh, class: &str, key: &[u8]) -> Vec<&'a node::NodeHandle> {
+    let serves = |node: &&node::NodeHandle| node.serves(class, key);
+    let mut owners: Vec<_> = mesh.nodes().filter(serves).collect();
+    if owners.len() > 1 {
+        // The nodes were asked one after the other, so a hand-over between two questions looks like
+        // two owners. Those that still serve after the last one was found served together with it.
+        let last = owners.len() - 1;
+        let confirmed: Vec<_> = owners[..last].iter().map(|node| node.serves(class, key)).collect();
+        let mut confirmed = confirmed.into_iter().chain([true]);
+        owners.retain(|_| confirmed.next().unwrap_or(true));
+    }
+    owners
+}
--- a/crates/standin/examples/bench/trial.rs
+++ b/crates/standin/examples/bench/trial.rs
@@ -33,6 +33,15 @@
     report.ok_or_else(|| "no caller could be started".to_owned())
 }
 
+/// Sends load in the background.
+pub(crate) fn background_load(
+    mesh: &mesh::Mesh,
+    settings: caller::LoadSettings,
+) -> smol::Task<Option<caller::LoadReport>> {
+    let host = mesh.standins.clone();
+    smol::spawn(async move { caller::run(&host, settings, &CancellationToken::new()).await })
+}
+
 /// CPU time of the threads that run nodes; stand-ins and callers run on threads of their own.
 pub(crate) fn node_cpu() -> time::Duration {
     let Ok(tasks) = fs::read_dir("/proc/self/task") else { return time::Duration::ZERO };
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -21,6 +21,8 @@
 
 /// Longest latency that is told apart, in microseconds.
 const MAX_LATENCY_US: u64 = 600_000_000;
+/// Length of the intervals by which a report tells when answers failed to come.
+pub const INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// Pause of a connection after it couldn't be made.
 const RECONNECT_PAUSE: time::Duration = time::Duration::from_millis(10);
 
@@ -131,6 +133,10 @@
     pub elapsed: time::Duration,
     /// Identifiers of requests that ended with another outcome than `Whole`, up to 10,000.
     pub failed: Vec<(u64, CallOutcome)>,
+    /// Requests with the outcome `NoAnswer` for which no connection could be made.
+    pub unconnected: u64,
+    /// Requests and whole answers by the interval in which the request was due.
+    pub intervals: Vec<(u32, u32)>,
 }
 
 /// Most identifiers of failed requests in a report.
@@ -145,9 +151,24 @@
             bytes: 0,
             elapsed: time::Duration::ZERO,
             failed: Vec::new(),
+            unconnected: 0,
+            intervals: Vec::new(),
         })
     }
 
+    /// Time of the intervals in which requests were due and none was answered whole.
+    pub fn unavailable(&self) -> time::Duration {
+        let dead = self.intervals.iter().filter(|(due, whole)| *due > 0 && *whole == 0);
+        INTERVAL * dead.count() as u32
+    }
+
+    /// Time of all intervals, each weighted with its share of requests that weren't answered whole.
+    pub fn partly_unavailable(&self) -> time::Duration {
+        let used = self.intervals.iter().filter(|(due, _)| *due > 0);
+        let shares = used.map(|(due, whole)| 1.0 - f64::from(*whole) / f64::from(*due));
+        INTERVAL.mul_f64(shares.sum())
+    }
+
     /// Number of requests with this outcome.
     pub fn count(&self, outcome: CallOutcome) -> u64 {
         self.outcomes.get(&outcome).copied().unwrap_or(0)
@@ -163,16 +184,25 @@
         time::Duration::from_micros(self.latency.value_at_percentile(percentile))
     }
 
-    fn record(&mut self, id: u64, call: &CallResult, latency: time::Duration) {
-        *self.outcomes.entry(call.outcome).or_default() += 1;
-        if let Some(status) = call.status {
+    fn record(&mut self, call: &DueCall, result: &CallResult, started: time::Instant) {
+        let (id, latency) = (call.id, call.due.elapsed());
+        *self.outcomes.entry(result.outcome).or_default() += 1;
+        self.unconnected += u64::from(!result.is_connected);
+        let interval = call.due.saturating_duration_since(started).as_millis();
+        let interval = (interval / INTERVAL.as_millis()) as usize;
+        if self.intervals.len() <= interval {
+            self.intervals.resize(interval + 1, (0, 0));
+        }
+        self.intervals[interval].0 += 1;
+        self.intervals[interval].1 += u32::from(result.outcome == CallOutcome::Whole);
+        if let Some(status) = result.status {
             *self.statuses.entry(status).or_default() += 1;
         }
-        if call.outcome == CallOutcome::Whole {
-            self.bytes += call.bytes;
+        if result.outcome == CallOutcome::Whole {
+            self.bytes += result.bytes;
             self.latency.saturating_record(latency.as_micros() as u64);
         } else if self.failed.len() < MAX_FAILED {
-            self.failed.push((id, call.outcome));
+            self.failed.push((id, result.outcome));
         }
     }
 }
@@ -181,11 +211,16 @@
     outcome: CallOutcome,
     status: Option<u16>,
     bytes: u64,
+    is_connected: bool,
 }
 
 impl CallResult {
     fn without_answer(outcome: CallOutcome) -> CallResult {
-        CallResult { outcome, status: None, bytes: 0 }
+        CallResult { outcome, status: None, bytes: 0, is_connected: true }
+    }
+
+    fn unconnected() -> CallResult {
+        CallResult { is_connected: false, ..CallResult::without_answer(CallOutcome::NoAnswer) }
     }
 }
 
@@ -293,7 +328,7 @@
                 None => (CallResult::without_answer(CallOutcome::TimedOut), None),
             };
             connection = kept;
-            lock(&self.report).record(call.id, &result, call.due.elapsed());
+            lock(&self.report).record(&call, &result, self.started);
             if result.outcome == CallOutcome::NoAnswer {
                 smol::Timer::after(RECONNECT_PAUSE).await;
             }
@@ -314,7 +349,7 @@
             Some(connection) => connection,
             None => match Connection::open(&self.host, target).await {
                 Some(connection) => connection,
-                None => return no_answer(),
+                None => return Some((CallResult::unconnected(), None)),
             },
         };
         let request = self.request(target, call, random)?;
@@ -368,7 +403,7 @@
         let (mut bytes, mut is_content) = (0, true);
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else {
-                return CallResult { outcome: CallOutcome::Cut, status, bytes };
+                return CallResult { outcome: CallOutcome::Cut, status, bytes, is_connected: true };
             };
             if let Some(data) = frame.data_ref() {
                 is_content = is_content && payload::is_content(id, bytes, data);
@@ -381,7 +416,7 @@
             (true, false) => CallOutcome::Wrong,
             (false, _) => stated,
         };
-        CallResult { outcome, status, bytes }
+        CallResult { outcome, status, bytes, is_connected: true }
     }
 }
 
--- a/crates/standin/src/mesh.rs
+++ b/crates/standin/src/mesh.rs
@@ -1,5 +1,6 @@
 //! One deployment in one process: stand-in store and upstreams, and a node beside each upstream.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net;
 use std::sync::Arc;
@@ -8,6 +9,8 @@
 use bytes::Bytes;
 use cornelridge::node;
 use cornelridge::settings;
+use cornelridge_model::assignment;
+use cornelridge_wire::document;
 use cornelridge_wire::identity;
 use thiserror::Error;
 
@@ -66,6 +69,7 @@
     /// The hosts.
     pub hosts: Vec<MeshHost>,
     authority: identity::TrialAuthority,
+    tune: UpstreamTuning,
 }
 
 /// Changes the settings of an upstream before it starts.
@@ -83,19 +87,15 @@
         store.overwrite("classes", Bytes::from(classes));
         let authority = identity::TrialAuthority::new()?;
         let plans = deployment.workers();
-        let mut mesh = Mesh { deployment, standins, store, hosts: Vec::new(), authority };
+        let mut mesh = Mesh { deployment, standins, store, hosts: Vec::new(), authority, tune };
         for plan in plans {
-            let host = mesh.start_host(plan, tune).await?;
+            let host = mesh.start_host(plan).await?;
             mesh.hosts.push(host);
         }
         Ok(mesh)
     }
 
-    async fn start_host(
-        &self,
-        plan: deployment::WorkerPlan,
-        tune: UpstreamTuning,
-    ) -> Result<MeshHost, MeshError> {
+    async fn start_host(&self, plan: deployment::WorkerPlan) -> Result<MeshHost, MeshError> {
         let node = self.start_node(&plan).await?;
         let announce_to = node.announce_address;
         let mut settings = upstream::UpstreamSettings::new(&plan.name, &plan.class, announce_to);
@@ -105,7 +105,7 @@
             settings.service_time = class.service_time;
             settings.cold_start = class.cold_start;
         }
-        tune(&mut settings);
+        (self.tune)(&mut settings);
         let upstream = upstream::UpstreamServer::start(&self.standins, settings)?;
         Ok(MeshHost { plan, node: Some(node), upstream })
     }
@@ -161,6 +161,60 @@
         self.lose_node(host);
     }
 
+    /// Replaces a host by a new one with the same name, on new ports.
+    pub async fn replace_host(&mut self, host: usize) -> Result<(), MeshError> {
+        self.lose_host(host);
+        let plan = self.hosts[host].plan.clone();
+        self.hosts[host] = self.start_host(plan).await?;
+        Ok(())
+    }
+
+    /// The assignment in the store.
+    pub fn assignment(&self) -> Option<assignment::AssignmentDocument> {
+        let (_, value) = self.store.value(&format!("assignment/{}", self.deployment.region))?;
+        document::decode_assignment(&value).ok()
+    }
+
+    /// Waits until the mesh is ready, every move is settled, every chain has its full length, and
+    /// chains and guard sets name running nodes only.
+    pub async fn settled(&self, limit: time::Duration) -> Result<(), MeshError> {
+        let deadline = time::Instant::now() + limit;
+        while !(self.is_ready() && self.is_settled()) {
+            if time::Instant::now() >= deadline {
+                return Err(MeshError::NotReady(limit));
+            }
+            smol::Timer::after(POLL).await;
+        }
+        Ok(())
+    }
+
+    fn is_settled(&self) -> bool {
+        let Some(document) = self.assignment() else { return false };
+        if self.nodes().any(|node| node.versions().0 != document.epoch) {
+            return false;
+        }
+        let is_running = |member: &assignment::MemberKey| {
+            let incarnation = document.member(*member).incarnation;
+            self.nodes().any(|node| node.incarnation() == incarnation)
+        };
+        let is_sound = |lease: &assignment::LeaseKey| {
+            let record = document.lease(*lease);
+            is_running(&record.holder) && record.guards.iter().all(is_running)
+        };
+        let zones = |class: &str| {
+            let hosts = self.hosts.iter().filter(|host| &*host.plan.class == class);
+            hosts.map(|host| host.plan.zone).collect::<BTreeSet<_>>().len()
+        };
+        document.classes.iter().all(|class| {
+            let length = zones(&class.class).min(assignment::MAX_CHAIN);
+            class.slices.iter().all(|slice| {
+                slice.previous.is_empty()
+                    && slice.chain.len() == length
+                    && slice.chain.iter().all(is_sound)
+            })
+        })
+    }
+
     /// Waits until every sliced class is served for a sample of keys and every worker is known.
     pub async fn ready(&self, limit: time::Duration) -> Result<(), MeshError> {
         let deadline = time::Instant::now() + limit;
