--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -7,7 +7,7 @@
 use cornelridge::logs;
 use cornelridge::node;
 use cornelridge::settings;
-use futures_lite::{FutureExt, StreamExt};
+use futures_lite::{FutureExt, StreamExt, future};
 
 fn main() -> process::ExitCode {
     let loaded = settings::NodeSettings::load(env::args_os().skip(1), env::vars_os());
@@ -26,7 +26,9 @@
         eprintln!("no logs: {error}");
         return process::ExitCode::from(settings::EXIT_FAILURE);
     }
-    match smol::block_on(run(&settings)) {
+    // Only the executor thread polls the sockets; `smol::block_on` here would compete with it and
+    // turn each event into a wake-up between threads.
+    match future::block_on(smol::spawn(async move { run(&settings).await })) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(error) => {
             log::error!("{error}");
@@ -36,7 +38,9 @@
 }
 
 /// Runs the node until a signal asks it to leave; SIGHUP reloads the certificates.
-async fn run(settings: &settings::NodeSettings) -> Result<(), Box<dyn std::error::Error>> {
+async fn run(
+    settings: &settings::NodeSettings,
+) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
     for warning in settings.warnings() {
         log::warn!("{warning}");
     }
--- a/crates/standin/examples/bench/config.rs
+++ b/crates/standin/examples/bench/config.rs
@@ -38,6 +38,7 @@
     sent: time::Instant,
     accepted: time::Instant,
     conflicts: u64,
+    unknown: u64,
 }
 
 /// Watches the revision of each node.
@@ -119,17 +120,29 @@
     class: String,
     deadline_ms: u64,
 ) -> Result<AcceptedChange, String> {
-    for conflicts in 0..ATTEMPTS {
+    let (mut conflicts, mut unknown) = (0, 0);
+    let mut first_sent = None;
+    for _ in 0..ATTEMPTS {
         let document = operators::classes(node).await?;
         let mut config = document.class(&class).ok_or("the class is gone")?.clone();
+        if let Some(sent) = first_sent.filter(|_| config.deadline_ms == deadline_ms) {
+            // An earlier attempt whose outcome was unknown is in force.
+            let (revision, accepted) = (document.revision, time::Instant::now());
+            return Ok(AcceptedChange { revision, sent, accepted, conflicts, unknown });
+        }
         config.deadline_ms = deadline_ms;
         let sent = time::Instant::now();
         match operators::put_class(node, &config, document.revision).await? {
             operators::ChangeAnswer::Accepted(revision) => {
-                let (accepted, conflicts) = (time::Instant::now(), u64::from(conflicts));
-                return Ok(AcceptedChange { revision, sent, accepted, conflicts });
+                let accepted = time::Instant::now();
+                return Ok(AcceptedChange { revision, sent, accepted, conflicts, unknown });
+            }
+            operators::ChangeAnswer::Unknown => {
+                unknown += 1;
+                first_sent = first_sent.or(Some(sent));
             }
             operators::ChangeAnswer::Conflict => {
+                conflicts += 1;
                 smol::Timer::after(CONFLICT_PAUSE).await;
             }
             operators::ChangeAnswer::Failed(status, text) => {
@@ -161,6 +174,8 @@
     figure::print_count("config.changes", changes.len() as u64);
     let conflicts = changes.iter().map(|change| change.conflicts).sum();
     figure::print_count("config.conflicts", conflicts);
+    let unknown = changes.iter().map(|change| change.unknown).sum();
+    figure::print_count("config.unknown_outcomes", unknown);
     let lost = lost_changes(mesh).await?;
     figure::print_count("config.lost_changes", lost);
     let longest = figure::longest(&in_force);
--- a/crates/standin/examples/bench/drain.rs
+++ b/crates/standin/examples/bench/drain.rs
@@ -17,15 +17,15 @@
 /// Time between two departures; the planner replaces each one before the next.
 const BETWEEN: time::Duration = time::Duration::from_secs(3);
 /// Requests a second of each class of small requests.
-const RATE: f64 = 100.0;
-/// Different keys; few, so that cold starts are over soon.
+const RATE: f64 = 60.0;
+/// Different keys.
 const KEYS: u64 = 100;
 /// Downloads a second.
 const BULK_RATE: f64 = 4.0;
 /// Bytes of a download.
 const BULK_BYTES: u64 = 1024 * 1024;
 /// Time of a request at the upstream; longer than the usual one, so that many are in flight.
-const SERVICE_TIME: time::Duration = time::Duration::from_millis(30);
+const SERVICE_TIME: time::Duration = time::Duration::from_millis(150);
 /// Time after the announcement from which a leaving upstream must get no work.
 const GRACE: time::Duration = time::Duration::from_secs(2);
 /// Time in which a mesh must be whole.
@@ -47,6 +47,7 @@
 struct DepartureReport {
     requests: u64,
     cut_off: u64,
+    crossed: u64,
     refused: u64,
     late_work: u64,
 }
@@ -58,6 +59,7 @@
         let report = smol::block_on(measure(departure))?;
         let name = format!("drain.{departure:?}").to_lowercase();
         figure::print_count(&format!("{name}.cut_off"), report.cut_off);
+        figure::print_count(&format!("{name}.crossed_close"), report.crossed);
         figure::print_count(&format!("{name}.not_run"), report.refused);
         figure::print_count(&format!("{name}.late_work"), report.late_work);
         sum.requests += report.requests;
@@ -78,6 +80,7 @@
 async fn measure(departure: Departure) -> Result<DepartureReport, String> {
     let mut mesh = trial::start(deployment::Deployment::bogota(), |upstream| {
         upstream.service_time = SERVICE_TIME;
+        upstream.cold_start = time::Duration::ZERO;
     })
     .await?;
     mesh.settled(SETTLE_LIMIT).await.map_err(|error| error.to_string())?;
@@ -110,6 +113,7 @@
             - load.count(caller::CallOutcome::NotRun)
             - load.unconnected;
         report.cut_off += interrupted;
+        report.crossed += load.unanswered_reused;
     }
     let late = |(host, left_at): &(usize, time::Instant)| {
         let executions = mesh.hosts[*host].upstream.executions();
--- a/crates/standin/examples/bench/main.rs
+++ b/crates/standin/examples/bench/main.rs
@@ -1,6 +1,7 @@
 //! Measures the system scenario by scenario; each line is `name value unit`.
 //!
-//! `--list` names the scenarios. `RUST_LOG` sets the log level of the nodes. A baseline of a figure is printed as `name.BASELINE value unit`.
+//! `--list` names the scenarios. A baseline of a figure is printed as `name.BASELINE value unit`.
+//! `RUST_LOG` sets the log level of the nodes.
 
 mod config;
 mod drain;
@@ -8,11 +9,12 @@
 mod operators;
 mod owners;
 mod path;
+mod process;
 mod takeover;
 mod trial;
 
 use std::env;
-use std::process;
+use std::process::ExitCode;
 
 /// A scenario with what it measures.
 struct Scenario {
@@ -44,7 +46,7 @@
     },
 ];
 
-fn main() -> process::ExitCode {
+fn main() -> ExitCode {
     // The handle ends the log when it is dropped.
     let _logger = flexi_logger::Logger::try_with_env().and_then(flexi_logger::Logger::start);
     let args: Vec<String> = env::args().skip(1).collect();
@@ -53,16 +55,17 @@
             SCENARIOS.iter().for_each(|scenario| println!("{} {}", scenario.name, scenario.about));
             Ok(())
         }
+        Some(process::NODE_ARGUMENT) => process::run_node(&args[1..]),
         Some(name) => match SCENARIOS.iter().find(|scenario| scenario.name == name) {
             Some(scenario) => (scenario.run)(&args[1..]),
             None => Err(format!("unknown scenario {name:?}; --list names them")),
         },
     };
     match result {
-        Ok(()) => process::ExitCode::SUCCESS,
+        Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("bench: {error}");
-            process::ExitCode::FAILURE
+            ExitCode::FAILURE
         }
     }
 }
--- a/crates/standin/examples/bench/operators.rs
+++ b/crates/standin/examples/bench/operators.rs
@@ -20,6 +20,8 @@
     Accepted(ident::RevisionNumber),
     /// Another change came first.
     Conflict,
+    /// The change may be in the store; the node doesn't know.
+    Unknown,
     /// Any other answer.
     Failed(StatusCode, String),
 }
@@ -42,6 +44,9 @@
     if status == StatusCode::CONFLICT || status == StatusCode::PRECONDITION_FAILED {
         return Ok(ChangeAnswer::Conflict);
     }
+    if status == StatusCode::GATEWAY_TIMEOUT {
+        return Ok(ChangeAnswer::Unknown);
+    }
     if status != StatusCode::OK {
         return Ok(ChangeAnswer::Failed(status, String::from_utf8_lossy(&body).into_owned()));
     }
--- a/crates/standin/examples/bench/takeover.rs
+++ b/crates/standin/examples/bench/takeover.rs
@@ -128,7 +128,10 @@
             smol::Timer::after(SAMPLE_PAUSE).await;
         }
     };
-    future::or(settled, sampling).await.map_err(|error| error.to_string())
+    let begun = time::Instant::now();
+    future::or(settled, sampling).await.map_err(|error| error.to_string())?;
+    println!("# whole again after {:.1} s", begun.elapsed().as_secs_f64());
+    Ok(())
 }
 
 /// Time until a successor gets a lease of 3 s in the store whose holder renewed it once a second.
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -135,6 +135,9 @@
     pub failed: Vec<(u64, CallOutcome)>,
     /// Requests with the outcome `NoAnswer` for which no connection could be made.
     pub unconnected: u64,
+    /// Requests without an answer on a connection that had carried another one before. A server
+    /// that closes an idle connection causes this when a request crosses the close.
+    pub unanswered_reused: u64,
     /// Requests and whole answers by the interval in which the request was due.
     pub intervals: Vec<(u32, u32)>,
 }
@@ -152,6 +155,7 @@
             elapsed: time::Duration::ZERO,
             failed: Vec::new(),
             unconnected: 0,
+            unanswered_reused: 0,
             intervals: Vec::new(),
         })
     }
@@ -188,6 +192,7 @@
         let (id, latency) = (call.id, call.due.elapsed());
         *self.outcomes.entry(result.outcome).or_default() += 1;
         self.unconnected += u64::from(!result.is_connected);
+        self.unanswered_reused += u64::from(result.is_reused);
         let interval = call.due.saturating_duration_since(started).as_millis();
         let interval = (interval / INTERVAL.as_millis()) as usize;
         if self.intervals.len() <= interval {
@@ -212,11 +217,13 @@
     status: Option<u16>,
     bytes: u64,
     is_connected: bool,
+    /// Whether there was no answer on a connection that had been used before.
+    is_reused: bool,
 }
 
 impl CallResult {
     fn without_answer(outcome: CallOutcome) -> CallResult {
-        CallResult { outcome, status: None, bytes: 0, is_connected: true }
+        CallResult { outcome, status: None, bytes: 0, is_connected: true, is_reused: false }
     }
 
     fn unconnected() -> CallResult {
@@ -343,8 +350,12 @@
         call: &DueCall,
         random: &mut fastrand::Rng,
     ) -> Option<(CallResult, Option<Connection>)> {
-        let no_answer = || Some((CallResult::without_answer(CallOutcome::NoAnswer), None));
         let kept = connection.filter(|connection| !connection.sender.is_closed());
+        let is_reused = kept.is_some();
+        let no_answer = || {
+            let result = CallResult::without_answer(CallOutcome::NoAnswer);
+            Some((CallResult { is_reused, ..result }, None))
+        };
         let mut connection = match kept {
             Some(connection) => connection,
             None => match Connection::open(&self.host, target).await {
@@ -403,7 +414,13 @@
         let (mut bytes, mut is_content) = (0, true);
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else {
-                return CallResult { outcome: CallOutcome::Cut, status, bytes, is_connected: true };
+                return CallResult {
+                    outcome: CallOutcome::Cut,
+                    status,
+                    bytes,
+                    is_connected: true,
+                    is_reused: false,
+                };
             };
             if let Some(data) = frame.data_ref() {
                 is_content = is_content && payload::is_content(id, bytes, data);
@@ -416,7 +433,7 @@
             (true, false) => CallOutcome::Wrong,
             (false, _) => stated,
         };
-        CallResult { outcome, status, bytes, is_connected: true }
+        CallResult { outcome, status, bytes, is_connected: true, is_reused: false }
     }
 }
 
