Finish requests in flight before a leaving node releases its lease

Cause: once the planner had moved the slices of a leaving upstream or node away, `hand_over` released the lease at once. The release cancels work that still runs under the lease, so callers of non-idempotent classes got `unknown`.

Change: after the hand-over, wait until no work runs under the lease, at most 2 s, which is also the bound for work on slices that were moved. Without the planner (store down) the lease is released as before.

With the store down the release still cancels work after 1.5 s.

--- a/crates/node/src/drain.rs
+++ b/crates/node/src/drain.rs
@@ -14,6 +14,10 @@
 /// Time that the planner gets to hand the slices over before their lease is released.
 const HAND_OVER_LIMIT: time::Duration = time::Duration::from_millis(1_500);
 
+/// Time that requests for slices that were handed over get to finish; work that goes on longer is
+/// cancelled for the new owner in any case.
+const FINISH_LIMIT: time::Duration = time::Duration::from_secs(2);
+
 /// Starts to leave: the node registers as draining, and the planner moves its slices away.
 pub(crate) fn start(context: &Arc<context::NodeContext>) {
     if context.start_leaving() {
@@ -40,9 +44,20 @@
     while owned_slices(context) > 0 && context.clock.now() < limit {
         context.sleep(TICK).await;
     }
+    if owned_slices(context) == 0 {
+        finish_work(context).await;
+    }
     serving::release(context);
 }
 
+/// Waits for requests that run under the lease, because its release cancels them.
+async fn finish_work(context: &context::NodeContext) {
+    let limit = context.clock.now() + FINISH_LIMIT;
+    while context.ownership().state().in_flight > 0 && context.clock.now() < limit {
+        context.sleep(TICK).await;
+    }
+}
+
 /// Slices in whose chain this node stands first.
 pub(crate) fn owned_slices(context: &context::NodeContext) -> usize {
     let document = context.assignment();
