Test that late requests are refused at their turn

Cause: with the check of the deadline at dispatch removed, no test failed. Change: a test with one slot and three queued requests, one past its deadline and one too close to it. Figures: the test fails with the check removed and passes with it.

--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -372,6 +372,33 @@
     assert_eq!(refusal.expected_wait, time::Duration::from_millis(200));
 }
 
+/// Guards against giving a slot to a request whose deadline passed or is too close.
+#[test]
+fn late_requests_are_refused_at_their_turn() {
+    let mut queue = warm(1);
+    queue.offer(millis(0), request(9, 0, millis(0)));
+    queue.finish(millis(50), admission::RequestId(9), answered(50));
+    queue.offer(millis(50), request(0, 0, millis(50)));
+    // The long target keeps the rule for standing queues out of the way.
+    for (id, deadline) in [(1, 300), (2, 430), (3, 5_000)] {
+        let offered = admission::AdmissionRequest {
+            deadline: millis(deadline),
+            target: time::Duration::from_millis(4_000),
+            ..request(id, 0, millis(50))
+        };
+        assert!(is_queued(queue.offer(millis(50), offered)));
+    }
+    let actions = queue.finish(millis(400), admission::RequestId(0), answered(350));
+    assert_eq!(dispatched(&actions), [3]);
+    let reason = |action: &admission::AdmissionAction| match action {
+        admission::AdmissionAction::Refuse(_, refusal) => Some(refusal.reason),
+        admission::AdmissionAction::Dispatch(_) => None,
+    };
+    let reasons: Vec<_> = actions.iter().filter_map(reason).collect();
+    let passed = admission::RefusalReason::DeadlinePassed;
+    assert_eq!(reasons, [passed, admission::RefusalReason::WaitTooLong]);
+}
+
 /// Guards against a suspect sharing the upstream, and against one that keeps it idle.
 #[test]
 fn suspect_runs_alone_within_a_bounded_wait() {
