Keep a slow upstream that nobody could succeed

Cause: a test with the store down lost a key for good: under a load of 25 on 10 cores, checks of upstreams timed out on every member of a chain, each one released its lease, and without the store no new generation comes. Change: a check tells a refused connection from silence; a silent upstream is given up only while another member could serve each of its slices, and only a refused connection counts as a crash for the quarantine. Conclusion: a slow machine alone no longer empties a chain.

--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -5,6 +5,7 @@
 
 use cornelridge_model::time;
 use cornelridge_policy::quarantine;
+use derive_more::Display;
 use futures_lite::FutureExt;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -104,6 +105,20 @@
     }
 }
 
+/// How an upstream was lost.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+enum UpstreamLoss {
+    /// Its process is gone.
+    #[display("it accepts no connection")]
+    Crashed,
+    /// It didn't answer the checks; it may only be slow.
+    #[display("it doesn't answer")]
+    Silent,
+    /// It hasn't announced itself for a while.
+    #[display("it no longer announces itself")]
+    Unannounced,
+}
+
 /// Checks the upstream until the node stops; a lost one gives the lease up at once.
 pub(crate) async fn watch(context: Arc<context::NodeContext>) {
     let mut checker = upstream::UpstreamChecker::default();
@@ -115,21 +130,40 @@
             continue;
         };
         let started = context.clock.now();
-        let is_responsive = checker.check(link.announcement.address, &context.executor).await;
+        let result = checker.check(link.announcement.address, &context.executor).await;
         let now = context.clock.now();
         if now.since(started) > upstream::CHECK_STALL {
             // This process was paused; the result says nothing about the upstream.
             continue;
         }
-        let is_silent = now.since(context.last_announcement()) > upstream::ANNOUNCEMENT_LIMIT;
-        failures = if is_responsive { 0 } else { failures + 1 };
-        if is_silent || failures >= upstream::CHECK_FAILURES {
-            lost(&context, &link, is_silent);
-            failures = 0;
-        }
+        failures = if result == upstream::CheckResult::Responsive { 0 } else { failures + 1 };
+        let Some(loss) = loss(&context, now, result, failures) else { continue };
+        lost(&context, &link, loss);
+        failures = 0;
     }
 }
 
+fn loss(
+    context: &context::NodeContext,
+    now: time::Instant,
+    result: upstream::CheckResult,
+    failures: u32,
+) -> Option<UpstreamLoss> {
+    let silence = now.since(context.last_announcement());
+    let loss = match result {
+        upstream::CheckResult::Refused if failures >= upstream::CHECK_FAILURES => {
+            return Some(UpstreamLoss::Crashed);
+        }
+        _ if silence > upstream::ANNOUNCEMENT_LIMIT => UpstreamLoss::Unannounced,
+        upstream::CheckResult::Silent if failures >= upstream::CHECK_FAILURES => {
+            UpstreamLoss::Silent
+        }
+        _ => return None,
+    };
+    // A slow upstream is better than none: its lease, once released, returns only with the store.
+    serving::has_successors(context).then_some(loss)
+}
+
 async fn wait_for_check(context: &context::NodeContext) {
     let interval = async {
         context.sleep(upstream::CHECK_INTERVAL).await;
@@ -137,9 +171,8 @@
     interval.or(context.upstream_suspected()).await;
 }
 
-fn lost(context: &Arc<context::NodeContext>, link: &context::UpstreamLink, is_silent: bool) {
-    let reason = if is_silent { "no announcement" } else { "no response" };
-    log::warn!("upstream of class {} is lost: {reason}", link.announcement.class);
+fn lost(context: &Arc<context::NodeContext>, link: &context::UpstreamLink, loss: UpstreamLoss) {
+    log::warn!("upstream of class {} is lost: {loss}", link.announcement.class);
     context.meter.upstream_lost();
     let now = context.clock.now();
     let running = {
@@ -149,9 +182,12 @@
         running
     };
     context.set_upstream(None);
-    let crash = quarantine::CrashId { node: context.identity.incarnation, sequence: link.instance };
-    let notices = context.suspects().crashed(now, crash, &running);
-    peers::spread_suspects(context, notices);
+    if loss == UpstreamLoss::Crashed {
+        let sequence = link.instance;
+        let crash = quarantine::CrashId { node: context.identity.incarnation, sequence };
+        let notices = context.suspects().crashed(now, crash, &running);
+        peers::spread_suspects(context, notices);
+    }
     serving::release(context);
     planning::register(context);
 }
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -217,6 +217,22 @@
     context.liveness().set_watched(&watched);
 }
 
+/// Whether another member could serve each slice that this node would serve first.
+pub(crate) fn has_successors(context: &context::NodeContext) -> bool {
+    let document = context.assignment();
+    let own = context.identity.incarnation;
+    let machine = context.ownership();
+    let classes = document.classes.iter().enumerate();
+    let mut slices = classes.flat_map(|(class, slices)| {
+        let class = class as u16;
+        (0..slices.slices.len() as u32).map(move |slice| assignment::SliceKey { class, slice })
+    });
+    slices.all(|slice| {
+        let route = machine.route(slice);
+        route.first() != Some(&own) || route.len() > 1
+    })
+}
+
 /// Tells peers that this node gives its leases up for good.
 pub(crate) fn release(context: &Arc<context::NodeContext>) {
     let actions = context.ownership().release(context.clock.now());
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -211,7 +211,18 @@
     Ok(sender)
 }
 
-/// Checks that an upstream responds at all; what it says about its health isn't used.
+/// What a check of the upstream found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CheckResult {
+    /// It answered; what it says about its health isn't used.
+    Responsive,
+    /// It accepts no connection: its process is gone.
+    Refused,
+    /// It didn't answer in time; it may be frozen or slow.
+    Silent,
+}
+
+/// Checks that an upstream responds at all.
 #[derive(Debug, Default)]
 pub(crate) struct UpstreamChecker {
     sender: Option<http1::SendRequest<Empty<Bytes>>>,
@@ -223,36 +234,49 @@
         &mut self,
         address: net::SocketAddr,
         executor: &NodeExecutor,
-    ) -> bool {
+    ) -> CheckResult {
         let attempt = async { self.check_once(address, executor).await };
         let limit = async {
             smol::Timer::after(CHECK_TIMEOUT.to_std()).await;
-            false
+            CheckResult::Silent
         };
-        let is_responsive = attempt.or(limit).await;
-        if !is_responsive {
+        let result = attempt.or(limit).await;
+        if result != CheckResult::Responsive {
             self.sender = None;
         }
-        is_responsive
+        result
     }
 
-    async fn check_once(&mut self, address: net::SocketAddr, executor: &NodeExecutor) -> bool {
-        let is_ready = self.sender.as_ref().is_some_and(http1::SendRequest::is_ready);
-        if !is_ready {
-            self.sender = connect(address, executor).await.ok();
+    async fn check_once(
+        &mut self,
+        address: net::SocketAddr,
+        executor: &NodeExecutor,
+    ) -> CheckResult {
+        if let Some(mut sender) = self.sender.take().filter(http1::SendRequest::is_ready)
+            && ask(&mut sender, address).await
+        {
+            self.sender = Some(sender);
+            return CheckResult::Responsive;
         }
-        let Some(sender) = self.sender.as_mut() else { return false };
-        let Ok(request) = Request::get(Uri::from_static("/health"))
-            .header(http::header::HOST, address.to_string())
-            .body(Empty::new())
-        else {
-            return false;
-        };
-        let Ok(response) = sender.send_request(request).await else { return false };
-        Limited::new(response.into_body(), MAX_ANNOUNCEMENT_BYTES).collect().await.is_ok()
+        // The connection may have been closed for being idle, so only a new one decides.
+        let Ok(mut sender) = connect(address, executor).await else { return CheckResult::Refused };
+        if !ask(&mut sender, address).await {
+            return CheckResult::Refused;
+        }
+        self.sender = Some(sender);
+        CheckResult::Responsive
     }
 }
 
+async fn ask(sender: &mut http1::SendRequest<Empty<Bytes>>, address: net::SocketAddr) -> bool {
+    let request = Request::get(Uri::from_static("/health"))
+        .header(http::header::HOST, address.to_string())
+        .body(Empty::new());
+    let Ok(request) = request else { return false };
+    let Ok(response) = sender.send_request(request).await else { return false };
+    Limited::new(response.into_body(), MAX_ANNOUNCEMENT_BYTES).collect().await.is_ok()
+}
+
 /// Reads an announcement from an HTTP request.
 pub(crate) async fn read_announcement(
     request: Request<body::Incoming>,
