Let requests in flight end before a leaving node releases its lease

Cause: once its slices were handed over, a leaving node released its lease at once, which cancels all work.

Change: after the hand-over the node begins no further work on slices and waits until work has ended, at most 2 s, the bound of a planned move; then it releases.

--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -109,6 +109,7 @@
     upstream: sync::Mutex<Option<Arc<UpstreamLink>>>,
     upstream_suspected: atomic::AtomicBool,
     leaving: atomic::AtomicBool,
+    handing_over: atomic::AtomicBool,
     announced: atomic::AtomicU64,
     liveness: sync::Mutex<liveness::PeerLiveness>,
     gates: sync::Mutex<configuration::VersionGates>,
@@ -162,6 +163,7 @@
             upstream: sync::Mutex::default(),
             upstream_suspected: atomic::AtomicBool::new(false),
             leaving: atomic::AtomicBool::new(false),
+            handing_over: atomic::AtomicBool::new(false),
             announced: atomic::AtomicU64::new(0),
             liveness: sync::Mutex::new(liveness::PeerLiveness::new(
                 liveness::LivenessConfig::default(),
@@ -301,6 +303,16 @@
         self.leaving.load(atomic::Ordering::Relaxed)
     }
 
+    /// Starts or ends the last part of a hand-over, in which work ends and none begins.
+    pub(crate) fn set_handing_over(&self, is_handing_over: bool) {
+        self.handing_over.store(is_handing_over, atomic::Ordering::Relaxed);
+    }
+
+    /// Whether work on slices may only end.
+    pub(crate) fn is_handing_over(&self) -> bool {
+        self.handing_over.load(atomic::Ordering::Relaxed)
+    }
+
     /// When the upstream last announced itself.
     pub(crate) fn last_announcement(&self) -> time::Instant {
         time::Instant(self.announced.load(atomic::Ordering::Relaxed))
--- a/crates/node/src/drain.rs
+++ b/crates/node/src/drain.rs
@@ -13,6 +13,8 @@
 const TICK: time::Duration = time::Duration::from_millis(20);
 /// Time that the planner gets to hand the slices over before their lease is released.
 const HAND_OVER_LIMIT: time::Duration = time::Duration::from_millis(1_500);
+/// Time that work in flight gets before the lease is released: the bound of a planned move.
+const FINISH_LIMIT: time::Duration = time::Duration::from_millis(2_000);
 
 /// Starts to leave: the node registers as draining, and the planner moves its slices away.
 pub(crate) fn start(context: &Arc<context::NodeContext>) {
@@ -40,7 +42,14 @@
     while owned_slices(context) > 0 && context.clock.now() < limit {
         context.sleep(TICK).await;
     }
+    // A release cancels all work, so requests in flight end first and no new ones begin.
+    context.set_handing_over(true);
+    let limit = context.clock.now() + FINISH_LIMIT;
+    while context.ownership().works_in_flight() > 0 && context.clock.now() < limit {
+        context.sleep(TICK).await;
+    }
     serving::release(context);
+    context.set_handing_over(false);
 }
 
 /// Slices in whose chain this node stands first.
--- a/crates/node/src/tenure.rs
+++ b/crates/node/src/tenure.rs
@@ -78,6 +78,10 @@
     let hash = head.slice_hash(class);
     let give_up = context.clock.now() + MAX_GRANT_WAIT;
     loop {
+        if context.is_handing_over() {
+            let message = "this node hands its slices over";
+            return Err(RequestFailure::not_run(FailureKind::Draining, message));
+        }
         let now = context.clock.now();
         let decision = context.ownership().begin_key(now, &head.class, hash);
         match decision {
--- a/crates/ownership/src/machine.rs
+++ b/crates/ownership/src/machine.rs
@@ -243,6 +243,11 @@
         vec![message::OwnershipMessage::Vouch { lease, guards }]
     }
 
+    /// Number of pieces of work that have begun and not ended.
+    pub fn works_in_flight(&self) -> usize {
+        self.works.entries.len()
+    }
+
     /// The highest epoch that this process has confirmed.
     pub fn confirmed_epoch(&self) -> ident::EpochNumber {
         self.confirmed
