--- /dev/null
+++ b/crates/standin/tests/configuration.rs
@@ -0,0 +1,122 @@
+//! Class configuration over real sockets: changes by operators, store faults, bad values.
+
+#![allow(clippy::unwrap_used, clippy::panic)]
+
+mod support;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cornelridge_model::class::ClassDocument;
+use cornelridge_model::ident::RevisionNumber;
+use cornelridge_standin::mesh::{Mesh, OPERATOR_TOKEN};
+use cornelridge_standin::store::StoreOutage;
+use futures_lite::future;
+use http_body_util::Full;
+use support::{KEYED, Reply};
+
+/// A change of the deadline by an operator at one node.
+async fn change(mesh: &Mesh, host: usize, expected: u64, deadline_ms: u64) -> Reply {
+    let mut class = mesh.deployment.classes[0].config.clone();
+    class.deadline_ms = deadline_ms;
+    let request = http::Request::put(format!("/classes/{KEYED}"))
+        .header("host", "standin")
+        .header("authorization", format!("Bearer {OPERATOR_TOKEN}"))
+        .header("content-type", "application/json")
+        .header("if-match", format!("\"{expected}\""))
+        .body(Full::new(Bytes::from(serde_json::to_vec(&class).unwrap())))
+        .unwrap();
+    let target = mesh.hosts[host].node.as_ref().unwrap().operator_address;
+    support::call(target, request).await.unwrap()
+}
+
+/// Waits until each node has a revision; none may go back on the way.
+async fn in_force(mesh: &Mesh, revision: u64) {
+    let mut seen: HashMap<Arc<str>, RevisionNumber> = HashMap::new();
+    let reached = || {
+        let versions = mesh.nodes().map(|node| (Arc::clone(node.name()), node.versions().1));
+        let mut is_reached = true;
+        for (name, now) in versions.collect::<Vec<_>>() {
+            let before = seen.insert(Arc::clone(&name), now);
+            assert!(before.is_none_or(|before| before <= now), "{name}: {now} after {before:?}");
+            is_reached &= now == RevisionNumber(revision);
+        }
+        is_reached
+    };
+    support::until("the revision is in force at every node", reached).await;
+}
+
+fn document(mesh: &Mesh, revision: u64) -> Bytes {
+    let classes = mesh.deployment.class_document();
+    let revision = RevisionNumber(revision);
+    let document = ClassDocument { revision, change_id: revision.0 + 100, ..classes };
+    Bytes::from(serde_json::to_vec(&document).unwrap())
+}
+
+/// Guards against a change that silently undoes the one of another operator.
+#[test]
+fn one_of_two_concurrent_operators_gets_a_conflict() {
+    support::run(async {
+        let mesh = support::start(support::single(KEYED, 3)).await;
+        let (first, second) =
+            future::zip(change(&mesh, 0, 1, 7_000), change(&mesh, 1, 1, 8_000)).await;
+        let (won, lost) = if first.status == 200 { (first, second) } else { (second, first) };
+        assert_eq!((won.status, lost.status), (200, 409), "{won:?} {lost:?}");
+        assert_eq!(lost.error(), "revision-conflict", "{lost:?}");
+        let text = lost.json().to_string();
+        assert!(text.contains("deadline_ms"), "the conflict doesn't show what changed: {text}");
+        assert!(!lost.json()["remedy"].as_str().unwrap().is_empty(), "{text}");
+        in_force(&mesh, 2).await;
+    });
+}
+
+/// Guards against a change that is reported as failed although the store holds it.
+#[test]
+fn a_lost_answer_of_the_store_is_read_back() {
+    support::run(async {
+        let mesh = support::start(support::single(KEYED, 3)).await;
+        mesh.store.lose_answers(3);
+        let reply = change(&mesh, 0, 1, 7_000).await;
+        assert_eq!(reply.status, 200, "{reply:?}");
+        in_force(&mesh, 2).await;
+    });
+}
+
+/// Guards against a change that is accepted, or requests that fail, while the store is down.
+#[test]
+fn a_store_outage_stops_changes_only() {
+    support::run(async {
+        let mesh = support::start(support::single(KEYED, 3)).await;
+        mesh.store.set_outage(StoreOutage::Down).unwrap();
+        let reply = change(&mesh, 0, 1, 7_000).await;
+        assert_eq!((reply.status, &*reply.error()), (503, "store-unavailable"), "{reply:?}");
+        support::every_key_answered(&mesh, KEYED, 5_000_000).await;
+        in_force(&mesh, 1).await;
+        mesh.store.set_outage(StoreOutage::None).unwrap();
+        let reply = change(&mesh, 1, 1, 8_000).await;
+        assert_eq!(reply.status, 200, "{reply:?}");
+        in_force(&mesh, 2).await;
+    });
+}
+
+/// Guards against a bad value that goes in force, ends a node or blocks later good values, and
+/// against a revision that goes back.
+#[test]
+fn bad_values_in_the_store_are_rejected() {
+    support::run(async {
+        let mesh = support::start(support::single(KEYED, 3)).await;
+        let too_large = Bytes::from(vec![b' '; 2_000_000]);
+        let bad = [Bytes::from_static(b"{\"revision\":"), too_large, Bytes::new()];
+        for (value, next) in bad.into_iter().zip(2..) {
+            mesh.store.overwrite("classes", value);
+            support::every_key_answered(&mesh, KEYED, next * 1_000_000).await;
+            mesh.store.overwrite("classes", document(&mesh, next));
+            in_force(&mesh, next).await;
+        }
+        mesh.store.overwrite("classes", document(&mesh, 2));
+        support::every_key_answered(&mesh, KEYED, 9_000_000).await;
+        mesh.store.overwrite("classes", document(&mesh, 9));
+        in_force(&mesh, 9).await;
+    });
+}
--- /dev/null
+++ b/crates/standin/tests/leaving.rs
@@ -0,0 +1,155 @@
+//! Leaving over real sockets: slices are handed over, requests in flight end, nothing new starts.
+
+#![allow(clippy::unwrap_used, clippy::panic)]
+
+mod support;
+
+use cornelridge_standin::caller::{CallOutcome, LoadReport};
+use cornelridge_standin::mesh::Mesh;
+use cornelridge_standin::payload;
+use cornelridge_standin::upstream::ExecutionEnd;
+use support::{KEYED, LIMIT, ONCE, Reply};
+
+/// Executions elsewhere during which a host that has left must execute nothing.
+const SOME: u64 = 400;
+
+async fn more_executions(mesh: &Mesh, wanted: u64) {
+    let wanted = support::executed(mesh) + wanted;
+    support::until("more requests are executed", || support::executed(mesh) >= wanted).await;
+}
+
+fn is_idle(mesh: &Mesh, host: usize) -> bool {
+    let executions = mesh.hosts[host].upstream.executions();
+    executions.iter().all(|execution| execution.end != ExecutionEnd::Running)
+}
+
+fn assert_undisturbed(report: &LoadReport) {
+    support::assert_truthful(report);
+    assert_eq!(report.count(CallOutcome::Whole), report.total(), "{:?}", report.outcomes);
+}
+
+/// Waits for the hand-over, and checks that nothing starts at the host afterwards.
+async fn hand_over(mesh: &Mesh, host: usize, class: &str) {
+    let gone = || !support::serves_any(mesh, host, class);
+    support::until("the host serves no key", gone).await;
+    support::until("its requests have ended", || is_idle(mesh, host)).await;
+    mesh.served(LIMIT).await.unwrap();
+    let before = mesh.hosts[host].upstream.counts().executed;
+    more_executions(mesh, SOME).await;
+    assert_eq!(mesh.hosts[host].upstream.counts().executed, before, "new work at a left host");
+}
+
+/// Guards against errors, cuts and new work while an upstream leaves.
+#[test]
+fn a_leaving_upstream_hands_over_without_errors() {
+    support::run(async {
+        let mesh = support::start(support::single(KEYED, 4)).await;
+        let load = support::steady(&mesh, KEYED);
+        let scenario = async {
+            more_executions(&mesh, SOME).await;
+            let owner = mesh.owner(KEYED, b"key-0").unwrap();
+            mesh.hosts[owner].upstream.leave();
+            hand_over(&mesh, owner, KEYED).await;
+        };
+        let (report, ()) = support::under_load(&mesh.standins, load, scenario).await;
+        assert_undisturbed(&report);
+        support::assert_one_owner(&support::executions(&mesh, &[]));
+    });
+}
+
+/// Guards against errors, cuts and new work while a node leaves.
+#[test]
+fn a_leaving_node_hands_over_without_errors() {
+    support::run(async {
+        let mesh = support::start(support::single(KEYED, 4)).await;
+        let owner = mesh.owner(KEYED, b"key-0").unwrap();
+        let mut load = support::steady(&mesh, KEYED);
+        let leaving = mesh.hosts[owner].node.as_ref().unwrap();
+        load.targets.retain(|target| *target != leaving.caller_address);
+        let scenario = async {
+            more_executions(&mesh, SOME).await;
+            leaving.leave().await;
+            hand_over(&mesh, owner, KEYED).await;
+        };
+        let (report, ()) = support::under_load(&mesh.standins, load, scenario).await;
+        assert_undisturbed(&report);
+        support::assert_one_owner(&support::executions(&mesh, &[]));
+    });
+}
+
+/// Guards against an upstream that gets no work again after it has decided to stay.
+#[test]
+fn an_upstream_that_stays_after_all_gets_slices_again() {
+    support::run(async {
+        let mesh = support::start(support::single(KEYED, 4)).await;
+        let owner = mesh.owner(KEYED, b"key-0").unwrap();
+        mesh.hosts[owner].upstream.leave();
+        let gone = || !support::serves_any(&mesh, owner, KEYED);
+        support::until("the host serves no key", gone).await;
+        mesh.hosts[owner].upstream.stay();
+        let returned = || support::serves_any(&mesh, owner, KEYED);
+        support::until("the host serves keys again", returned).await;
+        support::every_key_answered(&mesh, KEYED, 5_000_000).await;
+    });
+}
+
+/// Sends a request that runs for a time at the owner, through another node.
+fn long_call(mesh: &Mesh, owner: usize, service_ms: &'static str) -> smol::Task<Option<Reply>> {
+    let ingress = (owner + 1) % mesh.hosts.len();
+    let target = mesh.hosts[ingress].node.as_ref().unwrap().caller_address;
+    smol::spawn(async move {
+        let headers = [
+            ("idempotency-key", "call-77"),
+            (payload::ECHO_HEADER, "77"),
+            (payload::SERVICE_HEADER, service_ms),
+        ];
+        support::call(target, support::get(ONCE, &headers)).await
+    })
+}
+
+async fn executing(mesh: &Mesh, owner: usize) {
+    let running = || mesh.hosts[owner].upstream.counts().executed > 0;
+    support::until("the request runs", running).await;
+}
+
+fn in_flight_ends(service_ms: &'static str, node_leaves: bool) {
+    support::run(async {
+        let mesh = support::start(support::single(ONCE, 4)).await;
+        let owner = mesh.owner(ONCE, b"call-77").unwrap();
+        let call = long_call(&mesh, owner, service_ms);
+        executing(&mesh, owner).await;
+        if node_leaves {
+            mesh.hosts[owner].node.as_ref().unwrap().leave().await;
+        } else {
+            mesh.hosts[owner].upstream.leave();
+        }
+        let reply = call.await.unwrap();
+        assert!(reply.is_answer_to(77), "{reply:?}");
+        assert_eq!(support::executed(&mesh), 1);
+    });
+}
+
+/// Guards against a leaving upstream whose node cuts a request in flight off.
+#[test]
+fn a_leaving_upstream_finishes_a_request_in_flight() {
+    in_flight_ends("1000", false);
+}
+
+/// Guards against a leaving node that cuts a request in flight off.
+#[test]
+fn a_leaving_node_finishes_a_request_in_flight() {
+    in_flight_ends("1000", true);
+}
+
+/// Guards against a leaving upstream whose node cuts off a request that is longer than the
+/// hand-over.
+#[test]
+fn a_leaving_upstream_finishes_a_long_request_in_flight() {
+    in_flight_ends("5000", false);
+}
+
+/// Guards against a leaving node that cuts off a request that is longer than the hand-over.
+#[test]
+fn a_leaving_node_finishes_a_long_request_in_flight() {
+    in_flight_ends("5000", true);
+}
--- /dev/null
+++ b/crates/standin/tests/outcomes.rs
@@ -0,0 +1,255 @@
+//! Outcomes over real sockets: what a caller is told about a request is true for each failure.
+
+#![allow(clippy::unwrap_used, clippy::panic)]
+
+mod support;
+
+use std::net;
+use std::time;
+
+use cornelridge_standin::mesh::Mesh;
+use cornelridge_standin::payload;
+use futures_lite::future;
+use support::{BULK, KEYED, ONCE, Reply};
+
+const ECHO: u64 = 77;
+
+fn headers<'a>(class: &str, further: &[(&'a str, &'a str)]) -> Vec<(&'a str, &'a str)> {
+    let mut headers = vec![(payload::ECHO_HEADER, "77"), ("cornelridge-key", "key-0")];
+    if class == ONCE {
+        headers.push(("idempotency-key", "call-77"));
+    }
+    headers.extend(further);
+    headers
+}
+
+async fn call(target: net::SocketAddr, class: &str, further: &[(&str, &str)]) -> Reply {
+    let request = support::get(class, &headers(class, further));
+    support::call(target, request).await.unwrap()
+}
+
+fn executions_of(mesh: &Mesh, echo: u64) -> usize {
+    let executions = support::executions(mesh, &[]);
+    executions.iter().filter(|(_, execution)| execution.echo == Some(echo)).count()
+}
+
+/// A node that isn't the owner of the key, so that the request crosses two nodes.
+fn other(mesh: &Mesh, owner: usize) -> net::SocketAddr {
+    let host = (owner + 1) % mesh.hosts.len();
+    mesh.hosts[host].node.as_ref().unwrap().caller_address
+}
+
+fn owner(mesh: &Mesh, class: &str) -> usize {
+    let key: &[u8] = if class == ONCE { b"call-77" } else { b"key-0" };
+    mesh.owner(class, key).unwrap()
+}
+
+/// Addresses of the owner's node and of another one: both ways must tell the same truth.
+fn ways(mesh: &Mesh, class: &str) -> [net::SocketAddr; 2] {
+    let owner = owner(mesh, class);
+    let node = mesh.hosts[owner].node.as_ref().unwrap();
+    [node.caller_address, other(mesh, owner)]
+}
+
+async fn executing(mesh: &Mesh) {
+    support::until("the request runs", || executions_of(mesh, ECHO) > 0).await;
+}
+
+/// Guards against `run` or `unknown` for requests that an upstream sheds, and against a success.
+#[test]
+fn shed_load_is_not_run() {
+    for class in [KEYED, ONCE, BULK] {
+        support::run(async {
+            let mesh = support::start(support::single(class, 3)).await;
+            mesh.hosts.iter().for_each(|host| host.upstream.set_sheds_load(true));
+            let targets = match class {
+                BULK => mesh.caller_addresses(),
+                _ => ways(&mesh, class).to_vec(),
+            };
+            for target in targets {
+                let reply = call(target, class, &[("cornelridge-deadline-ms", "3000")]).await;
+                assert_eq!((reply.status, reply.outcome()), (503, "not-run"), "{reply:?}");
+                assert!(!reply.json()["remedy"].as_str().unwrap().is_empty(), "{reply:?}");
+            }
+            assert_eq!(executions_of(&mesh, ECHO), 0);
+            mesh.hosts.iter().for_each(|host| host.upstream.set_sheds_load(false));
+            let answered = async {
+                loop {
+                    let target = mesh.caller_addresses()[0];
+                    let reply = call(target, class, &[]).await;
+                    if reply.is_answer_to(ECHO) {
+                        return;
+                    }
+                    assert_eq!(reply.outcome(), "not-run", "{reply:?}");
+                }
+            };
+            answered.await;
+            assert_eq!(executions_of(&mesh, ECHO), 1);
+        });
+    }
+}
+
+/// Guards against a stale owner whose refused request is reported as executed.
+#[test]
+fn an_older_fence_is_not_run() {
+    support::run(async {
+        let mesh = support::start(support::single(KEYED, 3)).await;
+        let owner = owner(&mesh, KEYED);
+        // The upstream has seen a far higher fence for this key than its node holds.
+        let upstream = mesh.hosts[owner].upstream.address();
+        let headers = [("cornelridge-key", "key-0"), ("cornelridge-fence", "999999.0")];
+        let primed = support::call(upstream, support::get(KEYED, &headers)).await.unwrap();
+        assert_eq!(primed.status, 200);
+        for target in ways(&mesh, KEYED) {
+            let reply = call(target, KEYED, &[("cornelridge-deadline-ms", "2000")]).await;
+            assert_eq!(reply.outcome(), "not-run", "{reply:?}");
+            assert!(reply.status >= 500, "{reply:?}");
+        }
+        assert_eq!(executions_of(&mesh, ECHO), 0);
+    });
+}
+
+/// Guards against an answer that ends cleanly although its upstream stopped in the middle.
+#[test]
+fn a_cut_answer_is_visibly_cut() {
+    for (class, length) in [(KEYED, "3000"), (ONCE, "3000"), (BULK, "1000000")] {
+        support::run(async {
+            let mesh = support::start(support::single(class, 3)).await;
+            mesh.hosts.iter().for_each(|host| host.upstream.set_cuts_after(Some(1_000)));
+            let targets = match class {
+                BULK => mesh.caller_addresses(),
+                _ => ways(&mesh, class).to_vec(),
+            };
+            for target in targets {
+                let reply = call(target, class, &[(payload::LENGTH_HEADER, length)]).await;
+                let is_success = reply.status == 200 && reply.is_whole;
+                assert!(!is_success, "a cut answer ended cleanly: {:?}", reply.headers);
+                if reply.status != 200 {
+                    assert_ne!(reply.outcome(), "not-run", "{reply:?}");
+                }
+            }
+        });
+    }
+}
+
+/// Guards against `not-run` for a request that runs beyond its deadline, and against a caller that
+/// gets no answer.
+#[test]
+fn a_request_beyond_its_deadline_is_unknown() {
+    for class in [KEYED, ONCE] {
+        support::run(async {
+            let mesh = support::start(support::single(class, 3)).await;
+            let further = [(payload::SERVICE_HEADER, "60000"), ("cornelridge-deadline-ms", "1500")];
+            let [_, target] = ways(&mesh, class);
+            let reply = call(target, class, &further).await;
+            let executed = executions_of(&mesh, ECHO);
+            if executed > 0 {
+                assert_eq!((reply.status, reply.outcome()), (504, "unknown"), "{reply:?}");
+            }
+            // An idempotent request may be repeated.
+            assert!(class != ONCE || executed <= 1);
+        });
+    }
+}
+
+/// Guards against `not-run` for a request that its upstream had begun to run when it crashed.
+#[test]
+fn a_crash_in_the_middle_is_unknown() {
+    for class in [KEYED, ONCE] {
+        support::run(async {
+            let mesh = support::start(support::single(class, 3)).await;
+            let owner = owner(&mesh, class);
+            for target in ways(&mesh, class).into_iter().rev().take(1) {
+                let further = [(payload::SERVICE_HEADER, "60000")];
+                let crash = async {
+                    executing(&mesh).await;
+                    mesh.hosts[owner].upstream.crash();
+                    // An idempotent request may be repeated elsewhere; that one crashes as well.
+                    let hosts = mesh.hosts.iter();
+                    let idle = || hosts.clone().all(|host| !host.upstream.is_running());
+                    future::or(crash_all(&mesh, idle), future::pending()).await;
+                };
+                let reply = async { call(target, class, &further).await };
+                let reply = future::or(reply, async {
+                    crash.await;
+                    future::pending().await
+                })
+                .await;
+                assert_eq!(reply.outcome(), "unknown", "{reply:?}");
+                assert_eq!(reply.status, 502, "{reply:?}");
+            }
+            if class == ONCE {
+                assert_eq!(executions_of(&mesh, ECHO), 1);
+            }
+        });
+    }
+}
+
+/// Crashes each upstream once it runs the request.
+async fn crash_all(mesh: &Mesh, is_over: impl Fn() -> bool) {
+    while !is_over() {
+        for host in &mesh.hosts {
+            let runs = host.upstream.executions().iter().any(|entry| entry.echo == Some(ECHO));
+            if runs && host.upstream.is_running() {
+                host.upstream.crash();
+            }
+        }
+        smol::Timer::after(time::Duration::from_millis(5)).await;
+    }
+}
+
+/// Guards against `not-run` for a request whose node was lost while it ran, and against an answer
+/// that never comes.
+#[test]
+fn a_lost_node_in_the_middle_is_unknown() {
+    support::run(async {
+        let mut mesh = support::start(support::single(ONCE, 4)).await;
+        let owner = owner(&mesh, ONCE);
+        let target = other(&mesh, owner);
+        let call =
+            smol::spawn(
+                async move { call(target, ONCE, &[(payload::SERVICE_HEADER, "60000")]).await },
+            );
+        executing(&mesh).await;
+        mesh.lose_node(owner);
+        let reply = call.await;
+        assert_eq!((reply.status, reply.outcome()), (502, "unknown"), "{reply:?}");
+        assert_eq!(executions_of(&mesh, ECHO), 1);
+    });
+}
+
+/// Guards against a lost bystander that disturbs a request in flight between two other nodes.
+#[test]
+fn the_loss_of_another_node_disturbs_no_request_in_flight() {
+    support::run(async {
+        let mut mesh = support::start(support::single(ONCE, 4)).await;
+        let owner = owner(&mesh, ONCE);
+        let target = other(&mesh, owner);
+        let call =
+            smol::spawn(
+                async move { call(target, ONCE, &[(payload::SERVICE_HEADER, "1500")]).await },
+            );
+        executing(&mesh).await;
+        let bystander = (owner + 2) % mesh.hosts.len();
+        mesh.lose_host(bystander);
+        let reply = call.await;
+        assert!(reply.is_answer_to(ECHO), "{reply:?}");
+        assert_eq!(executions_of(&mesh, ECHO), 1);
+    });
+}
+
+/// Guards against `run` or `unknown` when no upstream accepts a connection.
+#[test]
+fn refused_connections_are_not_run() {
+    for class in [KEYED, ONCE, BULK] {
+        support::run(async {
+            let mesh = support::start(support::single(class, 3)).await;
+            mesh.hosts.iter().for_each(|host| host.upstream.crash());
+            for target in mesh.caller_addresses() {
+                let reply = call(target, class, &[("cornelridge-deadline-ms", "1500")]).await;
+                assert_eq!(reply.outcome(), "not-run", "{reply:?}");
+            }
+            assert_eq!(executions_of(&mesh, ECHO), 0);
+        });
+    }
+}
