--- a/crates/node/src/drain.rs
+++ b/crates/node/src/drain.rs
@@ -13,7 +13,6 @@
 const TICK: time::Duration = time::Duration::from_millis(20);
 /// Time that the planner gets to hand the slices over before their lease is released.
 const HAND_OVER_LIMIT: time::Duration = time::Duration::from_millis(1_500);
-
 /// Time that requests for slices that were handed over get to finish; work that goes on longer is
 /// cancelled for the new owner in any case.
 const FINISH_LIMIT: time::Duration = time::Duration::from_secs(2);
@@ -44,18 +43,14 @@
     while owned_slices(context) > 0 && context.clock.now() < limit {
         context.sleep(TICK).await;
     }
-    if owned_slices(context) == 0 {
-        finish_work(context).await;
-    }
-    serving::release(context);
-}
-
-/// Waits for requests that run under the lease, because its release cancels them.
-async fn finish_work(context: &context::NodeContext) {
+    // A release cancels all work, so requests in flight end first and no new ones begin.
+    context.set_handing_over(true);
     let limit = context.clock.now() + FINISH_LIMIT;
-    while context.ownership().state().in_flight > 0 && context.clock.now() < limit {
+    while context.ownership().works_in_flight() > 0 && context.clock.now() < limit {
         context.sleep(TICK).await;
     }
+    serving::release(context);
+    context.set_handing_over(false);
 }
 
 /// Slices in whose chain this node stands first.
