Add bench scenarios for faults, balance, overload and soak

Cause: the bench measured the request path, takeover, configuration changes and departures only.

Change: `unavailable`, `frozen` and `poison` run on the real mesh for both deployments. `imbalance`, `churn`, `hotkey`, `overload` and `bulk` use the deterministic models with their baselines. `soak` runs the ownership machines.

`hotkey.settled`, `overload` and `bulk` on the real mesh, baselines on the real mesh, and `slopes` are missing.

--- /dev/null
+++ b/crates/standin/examples/bench/faults.rs
@@ -0,0 +1,163 @@
+//! Lost and frozen upstreams and requests that crash them, on the real mesh.
+
+use std::time;
+
+use cornelridge_standin::caller;
+use cornelridge_standin::deployment;
+use cornelridge_standin::mesh;
+use cornelridge_standin::payload;
+
+use crate::figure;
+use crate::trial;
+
+/// Requests a second of a class.
+const RATE: f64 = 60.0;
+/// Time of the load before the fault.
+const BEFORE: time::Duration = time::Duration::from_secs(2);
+/// Time of the load from the fault on.
+const AFTER: time::Duration = time::Duration::from_secs(6);
+/// Time in which a mesh must be whole.
+const SETTLE_LIMIT: time::Duration = time::Duration::from_secs(30);
+/// Attempts of the caller whose request crashes upstreams.
+const POISON_ATTEMPTS: u64 = 5;
+/// Pause between two attempts; an upstream restarts within it.
+const POISON_PAUSE: time::Duration = time::Duration::from_millis(1_500);
+/// Upstreams that one request may crash.
+const MAX_LOST: u64 = 2;
+/// First identifier of requests that crash upstreams.
+const POISON_ID: u64 = 9_000_000;
+/// Bytes of a download.
+const BULK_BYTES: u64 = 1024 * 1024;
+
+async fn start(deployment: deployment::Deployment) -> Result<mesh::Mesh, String> {
+    let mesh = trial::start(deployment, |upstream| upstream.cold_start = time::Duration::ZERO);
+    let mesh = mesh.await?;
+    mesh.settled(SETTLE_LIMIT).await.map_err(|error| error.to_string())?;
+    Ok(mesh)
+}
+
+/// Load on a class through the nodes of other classes, which no fault touches.
+fn load(mesh: &mesh::Mesh, class: usize) -> caller::LoadSettings {
+    let entry = &mesh.deployment.classes[class];
+    let config = &entry.config;
+    let others = mesh.hosts.iter().filter(|host| host.plan.class != config.name);
+    let targets = others.filter_map(|host| host.node.as_ref()).map(|node| node.caller_address);
+    let duration = BEFORE + AFTER;
+    caller::LoadSettings {
+        arrival: caller::ArrivalMode::Open(RATE),
+        total: (RATE * duration.as_secs_f64()) as u64,
+        duration,
+        connections: 60,
+        idempotency_keys: !config.idempotent,
+        answer_bytes: if config.bulk { BULK_BYTES } else { entry.answer_bytes },
+        ..caller::LoadSettings::new(targets.collect(), &config.name)
+    }
+}
+
+fn deployments() -> [deployment::Deployment; 2] {
+    [deployment::Deployment::bogota(), deployment::Deployment::nairobi()]
+}
+
+/// A host of each class is lost in turn, while requests for the class arrive.
+pub(crate) fn unavailable(_args: &[String]) -> Result<(), String> {
+    for deployment in deployments() {
+        smol::block_on(lose_hosts(deployment))?;
+    }
+    Ok(())
+}
+
+async fn lose_hosts(deployment: deployment::Deployment) -> Result<(), String> {
+    for class in 0..deployment.classes.len() {
+        let mut mesh = start(deployment.clone()).await?;
+        let report = trial::background_load(&mesh, load(&mesh, class));
+        smol::Timer::after(BEFORE).await;
+        let name = mesh.deployment.classes[class].config.name.to_string();
+        let host = mesh.owner(&name, b"key-0").or(mesh.hosts_of(&name).first().copied());
+        mesh.lose_host(host.ok_or("no host")?);
+        let report = report.await.ok_or("no caller could be started")?;
+        println!("# {name}: {:?}", report.outcomes);
+        figure::print_span(&format!("unavailable.{name}"), report.unavailable());
+        figure::print_span(&format!("unavailable.{name}.partly"), report.partly_unavailable());
+    }
+    Ok(())
+}
+
+/// The upstream that owns the only key under load freezes.
+pub(crate) fn frozen(_args: &[String]) -> Result<(), String> {
+    let mut longest = time::Duration::ZERO;
+    for deployment in deployments() {
+        longest = longest.max(smol::block_on(freeze(deployment))?);
+    }
+    figure::print_span("frozen.unavailable", longest);
+    Ok(())
+}
+
+async fn freeze(deployment: deployment::Deployment) -> Result<time::Duration, String> {
+    let mesh = start(deployment).await?;
+    let keyed = mesh
+        .deployment
+        .classes
+        .iter()
+        .position(|class| class.config.is_sliced() && class.config.idempotent);
+    let class = keyed.ok_or("no class with keys")?;
+    let name = mesh.deployment.classes[class].config.name.to_string();
+    let load = caller::LoadSettings { keys: 1, ..load(&mesh, class) };
+    let report = trial::background_load(&mesh, load);
+    smol::Timer::after(BEFORE).await;
+    let owner = mesh.owner(&name, b"key-0").ok_or("key-0 has no owner")?;
+    mesh.hosts[owner].upstream.freeze();
+    let report = report.await.ok_or("no caller could be started")?;
+    println!("# {name}: {:?}", report.outcomes);
+    figure::print_span(&format!("frozen.{name}.unavailable"), report.unavailable());
+    Ok(report.unavailable())
+}
+
+/// A caller repeats a request that crashes each upstream that runs it.
+pub(crate) fn poison(_args: &[String]) -> Result<(), String> {
+    let mut most = 0;
+    for deployment in deployments() {
+        for class in 0..deployment.classes.len() {
+            most = most.max(smol::block_on(crash(deployment.clone(), class))?);
+        }
+    }
+    figure::print_count("poison.upstreams_lost", most);
+    if most > MAX_LOST {
+        return Err(format!("{most} upstreams were lost to one request"));
+    }
+    Ok(())
+}
+
+async fn crash(deployment: deployment::Deployment, class: usize) -> Result<u64, String> {
+    let mesh = start(deployment).await?;
+    let name = mesh.deployment.classes[class].config.name.to_string();
+    for attempt in 0..POISON_ATTEMPTS {
+        let request = caller::LoadSettings {
+            arrival: caller::ArrivalMode::Closed,
+            total: 1,
+            connections: 1,
+            keys: 1,
+            first_id: POISON_ID + attempt,
+            headers: vec![(payload::CRASH_HEADER, "1".to_owned())],
+            ..load(&mesh, class)
+        };
+        let report = trial::background_load(&mesh, request).await;
+        let report = report.ok_or("no caller could be started")?;
+        println!("# {name} attempt {attempt}: {:?}", report.outcomes);
+        let pause = smol::Timer::after(POISON_PAUSE);
+        for host in &mesh.hosts {
+            host.upstream.restart().map_err(|error| error.to_string())?;
+        }
+        if lost(&mesh) > MAX_LOST {
+            break;
+        }
+        pause.await;
+    }
+    figure::print_count(&format!("poison.{name}.upstreams_lost"), lost(&mesh));
+    Ok(lost(&mesh))
+}
+
+/// Times that an upstream began to run a request that crashes it.
+fn lost(mesh: &mesh::Mesh) -> u64 {
+    let executions = mesh.hosts.iter().flat_map(|host| host.upstream.executions());
+    executions.filter(|one| one.echo.is_some_and(|id| id >= POISON_ID)).count() as u64
+}
--- a/crates/standin/examples/bench/main.rs
+++ b/crates/standin/examples/bench/main.rs
@@ -5,11 +5,14 @@
 
 mod config;
 mod drain;
+mod faults;
 mod figure;
+mod model;
 mod operators;
 mod owners;
 mod path;
 mod process;
+mod soak;
 mod takeover;
 mod trial;
 
@@ -44,6 +47,51 @@
         about: "requests cut off, and late work, when upstreams and nodes leave under load",
         run: drain::run,
     },
+    Scenario {
+        name: "imbalance",
+        about: "maximum over mean load, in the balance model",
+        run: model::imbalance,
+    },
+    Scenario {
+        name: "churn",
+        about: "keys moved by the minute under a changing load, in the balance model",
+        run: model::churn,
+    },
+    Scenario {
+        name: "hotkey",
+        about: "imbalance while the hottest keys are replaced, in the balance model",
+        run: model::hot_key,
+    },
+    Scenario {
+        name: "unavailable",
+        about: "time in which a class isn't served after a host is lost",
+        run: faults::unavailable,
+    },
+    Scenario {
+        name: "overload",
+        about: "goodput and latency at twice the capacity, in the load model",
+        run: model::overload,
+    },
+    Scenario {
+        name: "bulk",
+        about: "latency of each class beside downloads, in the load model",
+        run: model::bulk,
+    },
+    Scenario {
+        name: "poison",
+        about: "upstreams lost to one request that crashes them",
+        run: faults::poison,
+    },
+    Scenario {
+        name: "frozen",
+        about: "time in which a key isn't served after its upstream froze",
+        run: faults::frozen,
+    },
+    Scenario {
+        name: "soak",
+        about: "random faults on the ownership machines; --seed N --steps N",
+        run: soak::run,
+    },
 ];
 
 fn main() -> ExitCode {
