Confirm a crash before its request is tried elsewhere

The number of an upstream's run began at 1 again after a loss, so that a second crash beside the same node counted as the first one; requests whose connection had broken were no longer in flight when the crash was found; and retries reached other workers before the notice of the crash. Change: runs are numbered once for each process; broken connections of the last 2 s count as in flight at the crash; the node checks for a refused connection before it reports the failure, and a retry waits 30 ms.

--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -1,6 +1,6 @@
 //! Slots of the upstream: waits for one, counts its use and tells the queue how it ended.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync;
 use std::sync::Arc;
 
@@ -17,6 +17,11 @@
 use crate::peers;
 use crate::request;
 
+/// Time between the end of a connection and the finding that the upstream has crashed.
+const BROKEN_SPAN: time::Duration = time::Duration::from_millis(2_000);
+/// Broken connections that are remembered.
+const MAX_BROKEN: usize = 256;
+
 /// What a queued request is told.
 type Verdict = Result<(), admission::AdmissionRefusal>;
 
@@ -26,6 +31,8 @@
     queue: admission::AdmissionQueue,
     waiting: HashMap<admission::RequestId, channel::Sender<Verdict>>,
     running: HashMap<admission::RequestId, quarantine::RequestFingerprint>,
+    /// Requests whose connection broke, for the case that the upstream turns out to have crashed.
+    broken: VecDeque<(time::Instant, quarantine::RequestFingerprint)>,
     next_id: u64,
 }
 
@@ -36,6 +43,7 @@
             queue: admission::AdmissionQueue::new(now, slots),
             waiting: HashMap::new(),
             running: HashMap::new(),
+            broken: VecDeque::new(),
             next_id: 0,
         }
     }
@@ -45,9 +53,25 @@
         &self.queue
     }
 
-    /// Fingerprints of the requests that the upstream runs.
-    pub(crate) fn running(&self) -> Vec<quarantine::RequestFingerprint> {
-        self.running.values().copied().collect()
+    /// Fingerprints of the requests that an upstream ran when it was found crashed at `now`.
+    pub(crate) fn take_crash_suspects(
+        &mut self,
+        now: time::Instant,
+    ) -> Vec<quarantine::RequestFingerprint> {
+        let broken = std::mem::take(&mut self.broken).into_iter();
+        let recent = broken.filter(|(at, _)| now.since(*at) < BROKEN_SPAN);
+        let recent = recent.map(|(_, fingerprint)| fingerprint);
+        let mut suspects: Vec<_> = self.running.values().copied().chain(recent).collect();
+        suspects.sort_unstable();
+        suspects.dedup();
+        suspects
+    }
+
+    fn note_broken(&mut self, now: time::Instant, fingerprint: quarantine::RequestFingerprint) {
+        if self.broken.len() >= MAX_BROKEN {
+            self.broken.pop_front();
+        }
+        self.broken.push_back((now, fingerprint));
     }
 
     /// Refuses what can't be answered in time.
@@ -161,6 +185,9 @@
         let mut gate = self.context.gate_queue();
         gate.running.remove(&self.id);
         gate.waiting.remove(&self.id);
+        if end == SlotEnd::Crashed {
+            gate.note_broken(now, self.fingerprint);
+        }
         let actions = match (self.dispatched.get(), end) {
             (None, _) => gate.queue.cancel(now, self.id),
             (Some(dispatched), SlotEnd::Cancelled) => {
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -94,7 +94,10 @@
         log::info!("upstream of class {} at {}", announcement.class, announcement.address);
         context.gate_queue().upstream_started(now, announcement.slots);
     }
-    let instance = current.as_ref().map_or(1, |link| link.instance + u64::from(!is_same));
+    let instance = match &current {
+        Some(link) if is_same => link.instance,
+        _ => context.next_upstream_instance(),
+    };
     let pool = upstream::ConnectionPool::new(announcement.address, announcement.connections);
     let link = context::UpstreamLink { announcement, pool, instance };
     context.set_upstream(Some(Arc::new(link)));
@@ -164,6 +167,21 @@
     serving::has_successors(context).then_some(loss)
 }
 
+/// Looks at once whether the upstream has crashed, after a connection to it broke. A request that
+/// crashed it must be known as a suspect before it is tried on another worker.
+pub(crate) async fn confirm_crash(
+    context: &Arc<context::NodeContext>,
+    link: &context::UpstreamLink,
+) {
+    if upstream::accepts_connections(link.announcement.address).await {
+        return;
+    }
+    let current = context.any_upstream();
+    if current.is_some_and(|current| current.instance == link.instance) {
+        lost(context, link, UpstreamLoss::Crashed);
+    }
+}
+
 async fn wait_for_check(context: &context::NodeContext) {
     let interval = async {
         context.sleep(upstream::CHECK_INTERVAL).await;
@@ -177,7 +195,7 @@
     let now = context.clock.now();
     let running = {
         let mut gate = context.gate_queue();
-        let running = gate.running();
+        let running = gate.take_crash_suspects(now);
         gate.upstream_lost(now);
         running
     };
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -111,6 +111,7 @@
     leaving: atomic::AtomicBool,
     handing_over: atomic::AtomicBool,
     announced: atomic::AtomicU64,
+    upstream_instances: atomic::AtomicU64,
     liveness: sync::Mutex<liveness::PeerLiveness>,
     gates: sync::Mutex<configuration::VersionGates>,
     announced_expiries: sync::Mutex<HashSet<ident::LeaseId>>,
@@ -167,6 +168,7 @@
             leaving: atomic::AtomicBool::new(false),
             handing_over: atomic::AtomicBool::new(false),
             announced: atomic::AtomicU64::new(0),
+            upstream_instances: atomic::AtomicU64::new(0),
             liveness: sync::Mutex::new(liveness::PeerLiveness::new(
                 liveness::LivenessConfig::default(),
                 parts.seed,
@@ -272,6 +274,11 @@
         *lock(&self.upstream) = link;
     }
 
+    /// Number for an upstream that has come up, never used twice by this process.
+    pub(crate) fn next_upstream_instance(&self) -> u64 {
+        self.upstream_instances.fetch_add(1, atomic::Ordering::Relaxed) + 1
+    }
+
     /// Asks for a check of the upstream at once.
     pub(crate) fn suspect_upstream(&self) {
         // A request that is already there serves as well.
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -27,6 +27,10 @@
 /// Pause before the members of a chain are asked again while none of them serves the key.
 const OWNER_PAUSE: time::Duration = time::Duration::from_millis(15);
 
+/// Pause before a request whose connection broke is repeated: the node beside the upstream tells
+/// the others in this time that the request may have crashed it.
+const CRASH_PAUSE: time::Duration = time::Duration::from_millis(30);
+
 /// What to do after a failed attempt.
 enum NextStep {
     /// Ask another node at once.
@@ -75,6 +79,10 @@
             NextStep::Redirect => {}
             NextStep::Pause => context.sleep(OWNER_PAUSE).await,
             NextStep::Retry { delay } => {
+                let delay = match failure.kind {
+                    FailureKind::UpstreamLost | FailureKind::PeerLost => delay.max(CRASH_PAUSE),
+                    _ => delay,
+                };
                 context.meter.retried(&head.class);
                 context.sleep(delay).await;
             }
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -12,6 +12,7 @@
 use hyper::body;
 
 use crate::admission;
+use crate::announce;
 use crate::body as node_body;
 use crate::context;
 use crate::execution;
@@ -145,8 +146,8 @@
                 }
             }
             SendEnd::Sent(Err(error)) => {
-                context.suspect_upstream();
                 admitted.slot.crashed();
+                announce::confirm_crash(context, &admitted.upstream).await;
                 let message = error.to_string();
                 return Err(admitted.unknown(FailureKind::UpstreamLost, message));
             }
@@ -354,7 +355,7 @@
         let AdmittedRequest { slot, execution, upstream, tenure } = admitted;
         if !is_whole {
             self.context.suspect_upstream();
-            slot.failed();
+            slot.crashed();
             if let Some(record) = execution {
                 record.lost();
             }
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -211,6 +211,16 @@
     Ok(sender)
 }
 
+/// Whether an address accepts connections; only a refusal counts as `false`.
+pub(crate) async fn accepts_connections(address: net::SocketAddr) -> bool {
+    let attempt = async { smol::net::TcpStream::connect(address).await.is_ok() };
+    let limit = async {
+        smol::Timer::after(CHECK_TIMEOUT.to_std()).await;
+        true
+    };
+    attempt.or(limit).await
+}
+
 /// What a check of the upstream found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CheckResult {
