--- a/crates/standin/src/mesh.rs
+++ b/crates/standin/src/mesh.rs
@@ -82,12 +82,6 @@
 /// Changes the settings of an upstream before it starts.
 pub type UpstreamTuning = fn(&mut upstream::UpstreamSettings);
 
-impl Drop for Mesh {
-    fn drop(&mut self) {
-        self.nodes().for_each(node::NodeHandle::stop);
-    }
-}
-
 impl Mesh {
     /// Starts everything; the classes are in the store before the first node.
     pub async fn start(
