Pass the system's headers to callers through two nodes

Cause: the test with separate processes found that cornelridge-served-by did not arrive when the request went through another node: headers from a node were filtered like headers from a caller. Change: only hop-by-hop headers of another node are dropped; the port is looked at three times within 20 ms after a connection broke.

--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -24,6 +24,9 @@
 
 /// Time within which the headers of an announcement must arrive.
 const HEADER_READ_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// Looks at the port of an upstream after a connection broke, and the pause between them.
+const CRASH_CHECKS: u32 = 3;
+const CRASH_CHECK_PAUSE: time::Duration = time::Duration::from_millis(10);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
@@ -173,9 +176,17 @@
     context: &Arc<context::NodeContext>,
     link: &context::UpstreamLink,
 ) {
-    if upstream::accepts_connections(link.announcement.address).await {
-        return;
+    // A process that ends closes its connections a moment before its port.
+    for _ in 0..CRASH_CHECKS {
+        if !upstream::accepts_connections(link.announcement.address).await {
+            confirmed(context, link);
+            return;
+        }
+        context.sleep(CRASH_CHECK_PAUSE).await;
     }
+}
+
+fn confirmed(context: &Arc<context::NodeContext>, link: &context::UpstreamLink) {
     let current = context.any_upstream();
     if current.is_some_and(|current| current.instance == link.instance) {
         lost(context, link, UpstreamLoss::Crashed);
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -42,13 +42,6 @@
 /// Headers that only this system may set towards an upstream.
 const RESERVED: [&str; 7] = [REQUEST_ID, FENCE, LEASE, DEADLINE, OUTCOME, REFUSED, SERVED_BY];
 
-fn is_passed_on(name: &HeaderName) -> bool {
-    !HOP_BY_HOP.contains(name)
-        && !RESERVED.contains(&name.as_str())
-        && name.as_str() != "keep-alive"
-        && name.as_str() != "proxy-connection"
-}
-
 /// Removes the headers that belong to one connection, and those that only this system may set.
 pub(crate) fn strip(headers: &mut HeaderMap) {
     let options: Vec<String> = headers
@@ -83,7 +76,7 @@
         let name = HeaderName::from_bytes(entry.name.as_bytes());
         let value = HeaderValue::from_maybe_shared(entry.value.clone());
         if let (Ok(name), Ok(value)) = (name, value)
-            && is_passed_on(&name)
+            && !HOP_BY_HOP.contains(&name)
         {
             map.append(name, value);
         }
