Ask guards only about members that leave a probe unanswered

Cause: bench slopes showed control traffic growing with the number of nodes, 111 KB/s a node at 32 nodes: a node probes a few predecessors often and took the silence of all others for a loss, so it asked their guards up to 20 times a second. Change: silence counts only while a probe is unanswered; owners that a node succeeds first are probed first; small sites probe up to 8 predecessors; load hints are sparse in large regions. The scenario slopes is new.

--- a/crates/control/src/liveness.rs
+++ b/crates/control/src/liveness.rs
@@ -25,6 +25,9 @@
 /// A gap between polls after which this process, not its peers, is taken to have paused.
 const PAUSE_GAP: time::Duration = time::Duration::from_millis(1_000);
 
+/// Time within which a direct probe is answered over a good link.
+const ROUND_TRIP: time::Duration = time::Duration::from_millis(20);
+
 /// What is known about one peer.
 #[derive(Clone, Debug)]
 struct Peer {
@@ -144,6 +147,11 @@
         self.order.retain(|peer| self.peers.contains_key(peer));
     }
 
+    /// Changes intervals and bounds; a watched set that was given before stays.
+    pub fn set_config(&mut self, config: LivenessConfig) {
+        self.config = config;
+    }
+
     /// Sets the peers that are probed in every round, the most important first; those past the
     /// configured number are left to the shuffled order.
     pub fn set_watched(&mut self, watched: &[ident::IncarnationId]) {
@@ -178,6 +186,14 @@
         }
     }
 
+    /// Whether a direct probe of the peer is unanswered for longer than a round trip takes, or the
+    /// peer isn't alive.
+    pub fn is_doubted(&self, now: time::Instant, peer: ident::IncarnationId) -> bool {
+        let Some(peer) = self.peers.get(&peer) else { return true };
+        let is_late = peer.direct_since.is_some_and(|since| now.since(since) > ROUND_TRIP);
+        is_late || peer.state != PeerState::Alive
+    }
+
     /// Peers that are lost.
     pub fn lost(&self) -> Vec<ident::IncarnationId> {
         let lost = self.peers.iter().filter(|(_, peer)| peer.state == PeerState::Lost);
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -14,10 +14,8 @@
 
 /// Interval between two looks at the probes.
 const TICK: time::Duration = time::Duration::from_millis(100);
-/// Ticks between two load hints to the other members.
-const HINT_TICKS: u64 = 3;
-/// Members that get a load hint at a time; with more members the hints rotate over them.
-const HINT_FANOUT: usize = 8;
+/// Members up to which a node can afford to probe all its predecessors and to hint to everybody.
+pub(crate) const SMALL_SITE: usize = 16;
 
 /// Probes the members until the node stops.
 pub(crate) async fn run(context: Arc<context::NodeContext>) {
@@ -29,14 +27,43 @@
             context.liveness().poll(now, &mut random)
         };
         apply(&context, actions);
+        note_undoubted(&context, now);
         context.workers.tick(now);
-        if round % HINT_TICKS == 0 {
-            send_hints(&context, round / HINT_TICKS);
+        let rhythm = HintRhythm::of(&context);
+        if round.is_multiple_of(rhythm.ticks) {
+            send_hints(&context, round / rhythm.ticks, rhythm.fanout);
         }
     }
 }
 
-fn send_hints(context: &context::NodeContext, round: u64) {
+/// Tells the ownership machine whose silence says nothing because no probe is unanswered.
+fn note_undoubted(context: &context::NodeContext, now: time::Instant) {
+    let document = context.assignment();
+    let liveness = context.liveness();
+    let members = document.members.iter().map(|member| member.incarnation);
+    let undoubted: Vec<_> = members.filter(|member| !liveness.is_doubted(now, *member)).collect();
+    drop(liveness);
+    let mut machine = context.ownership();
+    undoubted.into_iter().for_each(|member| machine.peer_undoubted(member));
+}
+
+/// How often load hints are sent and to how many members.
+struct HintRhythm {
+    ticks: u64,
+    fanout: usize,
+}
+
+impl HintRhythm {
+    /// In a large region hints are sparse, so that they stay below 1 KB/s.
+    fn of(context: &context::NodeContext) -> HintRhythm {
+        if context.assignment().members.len() > SMALL_SITE {
+            return HintRhythm { ticks: 10, fanout: 4 };
+        }
+        HintRhythm { ticks: 3, fanout: 8 }
+    }
+}
+
+fn send_hints(context: &context::NodeContext, round: u64, fanout: usize) {
     let Some(hint) = serving::load_hint(context) else { return };
     let document = context.assignment();
     let own = context.identity.incarnation;
@@ -44,8 +71,8 @@
     if others.is_empty() {
         return;
     }
-    let first = (round as usize).wrapping_mul(HINT_FANOUT) % others.len();
-    let chosen = others.iter().cycle().skip(first).take(HINT_FANOUT.min(others.len()));
+    let first = (round as usize).wrapping_mul(fanout) % others.len();
+    let chosen = others.iter().cycle().skip(first).take(fanout.min(others.len()));
     chosen.for_each(|member| peers::send(context, member.incarnation, hint.clone()));
 }
 
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use cornelridge_control::liveness;
 use cornelridge_model::assignment;
 use cornelridge_model::ident;
 use cornelridge_model::key;
@@ -13,11 +14,15 @@
 
 use crate::configuration;
 use crate::context;
+use crate::membership;
 use crate::peers;
 use crate::replication;
 
 /// Interval of the timers of the ownership machine.
 const TICK: time::Duration = time::Duration::from_millis(40);
+/// Predecessors that a node of a small site probes in every round, and its probes a second.
+const SMALL_SITE_WATCHED: usize = 8;
+const SMALL_SITE_DATAGRAMS: u64 = 60;
 /// Pause before a failed fetch of records is tried again.
 const FETCH_PAUSE: time::Duration = time::Duration::from_millis(200);
 /// Fetches of one slice before the next document or tick has to ask again.
@@ -201,7 +206,8 @@
     leases.map(|lease| document.holder(*lease).incarnation).collect()
 }
 
-/// Has the members probed in every round whose loss this node would have to notice.
+/// Has the members probed in every round whose loss this node would have to notice, the owners
+/// that it would succeed first before the others.
 pub(crate) fn watch_predecessors(context: &context::NodeContext) {
     let document = context.assignment();
     let own = context.identity.incarnation;
@@ -210,11 +216,26 @@
         let holders = slice.chain.iter().map(|lease| document.holder(*lease).incarnation);
         let holders: Vec<_> = holders.collect();
         let Some(position) = holders.iter().position(|holder| *holder == own) else { continue };
-        watched.extend(&holders[..position]);
+        watched.extend(holders[..position].iter().map(|holder| (position, *holder)));
     }
     watched.sort_unstable();
-    watched.dedup();
-    context.liveness().set_watched(&watched);
+    let mut ordered: Vec<_> = Vec::new();
+    for (_, holder) in watched {
+        if !ordered.contains(&holder) {
+            ordered.push(holder);
+        }
+    }
+    let config = match document.members.len() > membership::SMALL_SITE {
+        true => liveness::LivenessConfig::default(),
+        false => liveness::LivenessConfig {
+            max_watched: SMALL_SITE_WATCHED,
+            datagrams_per_second: SMALL_SITE_DATAGRAMS,
+            ..liveness::LivenessConfig::default()
+        },
+    };
+    let mut liveness = context.liveness();
+    liveness.set_config(config);
+    liveness.set_watched(&ordered);
 }
 
 /// Whether another member could serve each slice that this node would serve first.
--- a/crates/ownership/src/contact.rs
+++ b/crates/ownership/src/contact.rs
@@ -41,6 +41,13 @@
         }
     }
 
+    /// Counts silence anew for a member of whom no question is unanswered.
+    pub(crate) fn restart(&mut self, active: time::Instant, member: ident::IncarnationId) {
+        if let Some(contact) = self.peers.get_mut(&member) {
+            contact.heard = active;
+        }
+    }
+
     /// Time since the latest answer.
     pub(crate) fn silence(
         &self,
--- a/crates/ownership/src/machine.rs
+++ b/crates/ownership/src/machine.rs
@@ -138,6 +138,13 @@
         actions
     }
 
+    /// Notes that no probe of a peer is unanswered, so that its silence says nothing. A node probes
+    /// only some of its peers often, and asking the guards of all others would take up far more
+    /// traffic than the probes. It isn't a sign of life: it doesn't count against an isolation.
+    pub fn peer_undoubted(&mut self, peer: ident::IncarnationId) {
+        self.contacts.restart(self.clock.active(), peer);
+    }
+
     /// Where to send a request: the best guess of the server, then the other members of the chain
     /// except those known to have expired. Members that stopped answering probes come last.
     pub fn route(&self, slice: assignment::SliceKey) -> Vec<ident::IncarnationId> {
--- a/crates/standin/examples/bench/main.rs
+++ b/crates/standin/examples/bench/main.rs
@@ -12,6 +12,7 @@
 mod owners;
 mod path;
 mod process;
+mod slopes;
 mod soak;
 mod takeover;
 mod trial;
@@ -27,6 +28,11 @@
 }
 
 const SCENARIOS: &[Scenario] = &[
+    Scenario {
+        name: "slopes",
+        about: "what control costs a node at several sizes, and at the design size",
+        run: slopes::run,
+    },
     Scenario {
         name: "path",
         about: "latency and CPU time that two nodes add to a request",
