Count records as complete only under a lease that holds

Cause: reading the record path against the ownership rules. A member marked the records of a first chain as complete when it adopted the document. If its lease expired, the owner stopped copying to it, and a later generation of its lease took the old records for all of them: a repeated request could have run twice. A first owner that learnt of its class only after the chain had changed never became complete, so its class refused requests for the record window. Change: records become complete when the lease is gained, and incomplete when it is lost for good; the document tells when the previous chain began, so that a late first owner is recognised.

--- a/crates/control/src/planner/chains.rs
+++ b/crates/control/src/planner/chains.rs
@@ -28,7 +28,9 @@
         settled.extend(moved.filter(|(_, s)| is_settled(s)).map(|(slice, _)| (class, slice)));
     }
     for (class, slice) in &settled {
-        draft.document.classes[*class].slices[*slice].previous.clear();
+        let slice = &mut draft.document.classes[*class].slices[*slice];
+        slice.previous.clear();
+        slice.previous_since = ident::EpochNumber(0);
     }
     settled.len()
 }
@@ -40,6 +42,7 @@
     epoch: ident::EpochNumber,
 ) {
     slice.previous = std::mem::replace(&mut slice.chain, chain);
+    slice.previous_since = slice.since;
     slice.since = epoch;
 }
 
@@ -80,7 +83,13 @@
         let chain = leases(placement, &chain);
         placement.count(&chain);
         let start = key::KeyHash(start);
-        slices.push(assignment::SliceRecord { start, chain, since: epoch, previous: Vec::new() });
+        slices.push(assignment::SliceRecord {
+            start,
+            chain,
+            since: epoch,
+            previous: Vec::new(),
+            previous_since: ident::EpochNumber(0),
+        });
     }
     slices
 }
--- a/crates/model/src/assignment.rs
+++ b/crates/model/src/assignment.rs
@@ -87,6 +87,8 @@
     pub since: ident::EpochNumber,
     /// The chain before, while the move isn't settled; otherwise empty.
     pub previous: Vec<LeaseKey>,
+    /// The epoch in which `previous` began; 0 if it is empty.
+    pub previous_since: ident::EpochNumber,
 }
 
 /// All slices of one class, sorted by start; the first starts at 0.
@@ -106,6 +108,11 @@
         slice.since == self.created
     }
 
+    /// Whether nobody served this slice before `previous`.
+    pub fn was_first_chain(&self, slice: &SliceRecord) -> bool {
+        !slice.previous.is_empty() && slice.previous_since == self.created
+    }
+
     /// Index of the slice that contains `hash`.
     pub fn find(&self, hash: key::KeyHash) -> Option<usize> {
         self.slices.partition_point(|slice| slice.start <= hash).checked_sub(1)
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -54,9 +54,13 @@
             }
             ownership::OwnershipAction::LeaseGained { lease } => {
                 log::info!("lease {lease} held");
+                sync_records(context);
             }
             ownership::OwnershipAction::LeaseLost { lease, permanent } => {
                 log::warn!("lease {lease} lost, permanent: {permanent}");
+                if permanent {
+                    mark_incomplete(context, lease);
+                }
                 context.meter.lease_lost();
             }
             ownership::OwnershipAction::StartedServing { class, start, fence, .. } => {
@@ -149,33 +153,53 @@
     }
 }
 
-/// Fetches the records of slices in whose chain this node stands without having them.
+/// Brings the records of this node's slices up to date.
+///
+/// Only a member whose lease holds is sure to get a copy of each later execution, so nothing counts
+/// as complete before the lease is gained.
 pub(crate) fn sync_records(context: &Arc<context::NodeContext>) {
     let document = context.assignment();
     let classes = context.classes();
-    let own = context.identity.incarnation;
+    let state = context.ownership().state();
+    let held: Vec<_> = state.leases.iter().filter(|l| l.held).map(|l| l.lease).collect();
+    let is_held = |lease: &assignment::LeaseKey| held.contains(&document.lease_id(*lease));
     for slices in &document.classes {
         let Some(config) = classes.class(&slices.class).filter(|class| !class.idempotent) else {
             continue;
         };
         let window = records::record_window(config);
         for (index, slice) in slices.slices.iter().enumerate() {
-            let is_member =
-                slice.chain.iter().any(|lease| document.holder(*lease).incarnation == own);
             let range = replication::range_of(slices, index);
-            if is_member && slices.is_first_chain(slice) {
-                context.records().mark_new(&range);
+            let now = context.clock.now();
+            let known = context.records().sync_state(now, &range.class, range.first);
+            if known != records::SyncState::Missing || !slice.chain.iter().any(is_held) {
                 continue;
             }
-            let now = context.clock.now();
-            let state = context.records().sync_state(now, &range.class, range.first);
-            if is_member && state == records::SyncState::Missing {
+            // The first owner ever may learn of it only after the chain has changed; while its
+            // lease holds, nobody else can have served the slice.
+            let was_first_owner =
+                slices.was_first_chain(slice) && slice.previous.first().is_some_and(is_held);
+            if slices.is_first_chain(slice) || was_first_owner {
+                context.records().mark_new(&range);
+            } else {
                 fetch(context, range, window);
             }
         }
     }
 }
 
+/// Records no longer count as complete: without its lease a member gets no copies any more.
+fn mark_incomplete(context: &context::NodeContext, lease: ident::LeaseId) {
+    let document = context.assignment();
+    for slices in &document.classes {
+        for (index, slice) in slices.slices.iter().enumerate() {
+            if slice.chain.iter().any(|member| document.lease_id(*member) == lease) {
+                context.records().mark_incomplete(&replication::range_of(slices, index));
+            }
+        }
+    }
+}
+
 fn fetch(context: &Arc<context::NodeContext>, range: records::RecordRange, window: time::Duration) {
     let node = Arc::clone(context);
     let own = context.identity.incarnation;
--- a/crates/ownership/tests/traps.rs
+++ b/crates/ownership/tests/traps.rs
@@ -53,6 +53,7 @@
         chain: chain(now),
         since: ident::EpochNumber(*since),
         previous: chain(previous),
+        previous_since: ident::EpochNumber(0),
     });
     assignment::AssignmentDocument {
         epoch: ident::EpochNumber(epoch),
--- a/crates/records/src/transfer.rs
+++ b/crates/records/src/transfer.rs
@@ -100,6 +100,12 @@
         self.sync.update(range, |_| SyncState::Missing);
     }
 
+    /// Later records of a range no longer reach this node, because its lease has ended. The records
+    /// that it has are kept, but they have to be fetched again before they count as complete.
+    pub fn mark_incomplete(&mut self, range: &RecordRange) {
+        self.sync.update(range, |_| SyncState::Missing);
+    }
+
     /// Records of a range for `to`, which is then also told how executions in flight end.
     pub fn range(
         &mut self,
--- a/crates/records/tests/table.rs
+++ b/crates/records/tests/table.rs
@@ -421,3 +421,16 @@
     assert_eq!(owner.copied(START, ExecutionId(2), THIRD), CopyProgress::Waiting);
     assert_eq!(owner.excuse(START, ExecutionId(2), SECOND), CopyProgress::Dispatch);
 }
+
+/// Guards against a member whose lease ended and that missed later copies: it must not take its old
+/// records for all of them when it serves again.
+#[test]
+fn a_member_without_its_lease_is_incomplete_but_keeps_its_records() {
+    let mut table = table(8);
+    dispatch(&mut table, 1, 1);
+    table.mark_incomplete(&everything());
+    promote(&mut table);
+    let refused = table.begin(START, &request(2, 2));
+    assert_eq!(refused, RecordDecision::Refused(RefusalReason::NotSynced));
+    assert_eq!(table.begin(START, &request(1, 3)), RecordDecision::InFlight);
+}
--- a/crates/standin/src/soak/world.rs
+++ b/crates/standin/src/soak/world.rs
@@ -160,6 +160,7 @@
             chain: slice.chain.iter().map(lease).collect(),
             since: ident::EpochNumber(slice.since),
             previous: slice.previous.iter().map(lease).collect(),
+            previous_since: ident::EpochNumber(0),
         });
         assignment::AssignmentDocument {
             epoch: ident::EpochNumber(self.epoch),
--- a/crates/wire/src/document.rs
+++ b/crates/wire/src/document.rs
@@ -133,6 +133,7 @@
         chain: indexes(&slice.chain),
         since: slice.since.0,
         previous: indexes(&slice.previous),
+        previous_since: slice.previous_since.0,
     }
 }
 
@@ -143,6 +144,7 @@
         chain: slice.chain.iter().map(lease).collect::<Result<_, _>>()?,
         since: ident::EpochNumber(slice.since),
         previous: slice.previous.iter().map(lease).collect::<Result<_, _>>()?,
+        previous_since: ident::EpochNumber(slice.previous_since),
     })
 }
 
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -471,6 +471,9 @@
     pub since: u64,
     #[prost(uint32, repeated, tag = "4")]
     pub previous: ::prost::alloc::vec::Vec<u32>,
+    /// Epoch in which the previous chain began.
+    #[prost(uint64, tag = "5")]
+    pub previous_since: u64,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
--- a/crates/wire/tests/document.rs
+++ b/crates/wire/tests/document.rs
@@ -30,6 +30,7 @@
         chain: chain.iter().copied().map(assignment::LeaseKey).collect(),
         since: ident::EpochNumber(8),
         previous: previous.iter().copied().map(assignment::LeaseKey).collect(),
+        previous_since: ident::EpochNumber(u64::from(!previous.is_empty())),
     };
     assignment::AssignmentDocument {
         epoch: ident::EpochNumber(9),
