Report what any attempt may have done, and cut answers with their outcome

Cause: reading forward.rs: after an attempt that may have run, a refused repetition was reported as not-run. A test with cut answers then showed that a caller got no byte at all when the error of the body came together with its head, and that a cut answer paused the upstream like a crash. Change: the outcome covers all attempts and hedges, retries are counted apart from the search for the owner; an answer that is cut before its head is sent becomes a 502 with its outcome, and hyper flushes the head before a later cut; a broken connection counts as a crash only when the port refuses.

--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -117,7 +117,7 @@
     Finished,
     Failed,
     Shed,
-    Crashed,
+    Broken,
     Cancelled,
 }
 
@@ -158,9 +158,9 @@
         self.set_end(SlotEnd::Shed);
     }
 
-    /// The connection to the upstream broke.
-    pub(crate) fn crashed(&self) {
-        self.set_end(SlotEnd::Crashed);
+    /// The connection to the upstream broke; only a refused connection tells whether it crashed.
+    pub(crate) fn broken(&self) {
+        self.set_end(SlotEnd::Broken);
     }
 
     /// The caller left.
@@ -185,7 +185,7 @@
         let mut gate = self.context.gate_queue();
         gate.running.remove(&self.id);
         gate.waiting.remove(&self.id);
-        if end == SlotEnd::Crashed {
+        if end == SlotEnd::Broken {
             gate.note_broken(now, self.fingerprint);
         }
         let actions = match (self.dispatched.get(), end) {
@@ -199,8 +199,8 @@
                 let report = admission::FinishReport {
                     latency: now.since(*dispatched),
                     shed: end == SlotEnd::Shed,
-                    failed: matches!(end, SlotEnd::Failed | SlotEnd::Crashed),
-                    crashed: end == SlotEnd::Crashed,
+                    failed: matches!(end, SlotEnd::Failed | SlotEnd::Broken),
+                    crashed: false,
                 };
                 gate.queue.finish(now, self.id, report)
             }
--- a/crates/node/src/failure.rs
+++ b/crates/node/src/failure.rs
@@ -181,6 +181,17 @@
         RequestFailure { kind, result, message: message.into(), epoch: ident::EpochNumber(0) }
     }
 
+    /// This failure as the last one of several attempts: `not-run` only if no attempt may have run.
+    pub(crate) fn after(mut self, earlier: outcome::RequestOutcome) -> RequestFailure {
+        use outcome::RequestOutcome;
+        self.result = match (earlier, self.result) {
+            (RequestOutcome::Run, _) | (_, RequestOutcome::Run) => RequestOutcome::Run,
+            (RequestOutcome::NotRun, RequestOutcome::NotRun) => RequestOutcome::NotRun,
+            _ => RequestOutcome::Unknown,
+        };
+        self
+    }
+
     /// Whether another node may be able to serve the request.
     pub(crate) fn is_local_to_node(&self) -> bool {
         match self.kind {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -57,6 +57,9 @@
     let hedge_delay = context.policies.started(context.clock.now(), class);
     let fingerprint = quarantine::RequestFingerprint(head.fingerprint(&source));
     let mut route = RoutePlan::new(class.is_sliced(), fingerprint);
+    // What earlier attempts may have done; the last failure alone doesn't tell.
+    let mut earlier = outcome::RequestOutcome::NotRun;
+    let mut retries = 0;
     loop {
         let copy = source.try_clone();
         let target = route.next(context, &head, class);
@@ -71,11 +74,13 @@
             Ok(answer) => return Ok(answer),
             Err(failure) => failure,
         };
-        let Some(copy) = copy else { return Err(failure) };
-        if context.clock.now() >= head.deadline {
-            return Err(failure);
-        }
-        match next_step(context, &mut route, &head, class, &failure) {
+        let step = match &copy {
+            Some(_) if context.clock.now() < head.deadline => {
+                next_step(context, &route, &head, class, retries, &failure)
+            }
+            _ => NextStep::Report,
+        };
+        match step {
             NextStep::Redirect => {}
             NextStep::Pause => context.sleep(OWNER_PAUSE).await,
             NextStep::Retry { delay } => {
@@ -85,19 +90,22 @@
                 };
                 context.meter.retried(&head.class);
                 context.sleep(delay).await;
+                retries += 1;
             }
-            NextStep::Report => return Err(failure),
+            NextStep::Report => return Err(failure.after(earlier)),
         }
+        earlier = failure.after(earlier).result;
         head.attempt += 1;
-        source = copy;
+        source = copy.unwrap_or(body::BodySource::Cut);
     }
 }
 
 fn next_step(
     context: &context::NodeContext,
-    route: &mut RoutePlan,
+    route: &RoutePlan,
     head: &request::RequestHead,
     class: &class::ClassConfig,
+    retries: u32,
     failure: &RequestFailure,
 ) -> NextStep {
     if !failure.is_local_to_node() {
@@ -115,7 +123,7 @@
     let attempt = policies::AttemptFailure {
         class,
         failure,
-        attempts: head.attempt + 1,
+        attempts: retries + 1,
         deadline: head.deadline,
         other_worker: !class.is_sliced(),
     };
@@ -241,8 +249,8 @@
     let ended = async { (first.as_mut().await, true) };
     match ended.or(async { (second.as_mut().await, false) }).await {
         (Ok(answer), _) => Ok(answer),
-        (Err(_), true) => second.await,
-        (Err(_), false) => first.await,
+        (Err(failure), true) => second.await.map_err(|last| last.after(failure.result)),
+        (Err(failure), false) => first.await.map_err(|last| last.after(failure.result)),
     }
 }
 
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -146,7 +146,7 @@
                 }
             }
             SendEnd::Sent(Err(error)) => {
-                admitted.slot.crashed();
+                admitted.slot.broken();
                 announce::confirm_crash(context, &admitted.upstream).await;
                 let message = error.to_string();
                 return Err(admitted.unknown(FailureKind::UpstreamLost, message));
@@ -355,7 +355,7 @@
         let AdmittedRequest { slot, execution, upstream, tenure } = admitted;
         if !is_whole {
             self.context.suspect_upstream();
-            slot.crashed();
+            slot.broken();
             if let Some(record) = execution {
                 record.lost();
             }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -150,6 +150,9 @@
         Ok(answer) => {
             let mut body = MeteredBody::new(answer.body, measured, in_flight);
             body.take_ready().await;
+            if let Some(failure) = body.take_cut() {
+                return failure_response(&failure);
+            }
             let mut response = Response::new(node_body::to_http(body));
             *response.status_mut() = answer.status;
             *response.headers_mut() = answer.headers;
@@ -330,6 +333,16 @@
         }
     }
 
+    /// The failure to report in place of an answer that is known to be cut before its head is sent.
+    fn take_cut(&mut self) -> Option<RequestFailure> {
+        let Some(Err(error)) = &self.end else { return None };
+        let failure = RequestFailure::unknown(FailureKind::UpstreamLost, error.to_string());
+        if let Some(meter) = self.meter.take() {
+            meter.failed(&failure);
+        }
+        Some(failure)
+    }
+
     async fn pull(&mut self) -> Result<Option<Bytes>, node_body::BodyCutError> {
         if let Some(data) = self.ready.pop_front() {
             return Ok(Some(data));
@@ -355,6 +368,9 @@
                 if let Some(meter) = self.meter.take() {
                     meter.cut(error);
                 }
+                // Lets hyper flush what it has: with the error at once, the caller would get no
+                // byte of the answer, not even its head.
+                future::yield_now().await;
             }
         }
         next
--- a/crates/standin/tests/outcomes.rs
+++ b/crates/standin/tests/outcomes.rs
@@ -9,6 +9,7 @@
 
 use cornelridge_standin::mesh::Mesh;
 use cornelridge_standin::payload;
+use cornelridge_standin::upstream::Execution;
 use futures_lite::future;
 use support::{BULK, KEYED, ONCE, Reply};
 
@@ -253,3 +254,31 @@
         });
     }
 }
+
+/// Guards against `not-run` for an idempotent request whose first attempt ran and whose repetition
+/// was refused: the last failure alone isn't the outcome of the request.
+#[test]
+fn a_refused_repetition_does_not_hide_an_execution() {
+    for class in [KEYED, BULK] {
+        support::run(async {
+            let mesh = support::start(support::single(class, 3)).await;
+            let target = mesh.caller_addresses()[0];
+            let further = [(payload::SERVICE_HEADER, "60000"), ("cornelridge-deadline-ms", "4000")];
+            let reply = async { call(target, class, &further).await };
+            let crash = async {
+                executing(&mesh).await;
+                let runs = |execution: &Execution| execution.echo == Some(ECHO);
+                for host in &mesh.hosts {
+                    match host.upstream.executions().iter().any(runs) {
+                        true => host.upstream.crash(),
+                        false => host.upstream.set_sheds_load(true),
+                    }
+                }
+                future::pending().await
+            };
+            let reply = future::or(reply, crash).await;
+            assert_ne!(reply.status, 200, "{reply:?}");
+            assert_eq!(reply.outcome(), "unknown", "{reply:?}");
+        });
+    }
+}
