Fetch records until they are complete

Reading the fetch: it gave up after 50 tries and left the range as being fetched, so that no later document started it again and the class refused requests for the record window; a lost source could hold it up. Change: the fetch goes on while the slice is this node's, one at a time for a range and with a limit of 3 s for each source, and also for an owner that serves without the records.

--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -118,6 +118,7 @@
     /// Holder of the planner's lease and the end of that lease, from the last answer of the store.
     planner: sync::Mutex<Option<(ident::IncarnationId, time::Instant)>>,
     works: sync::Mutex<HashMap<ownership::WorkId, CancellationToken>>,
+    fetches: sync::Mutex<HashSet<FetchKey>>,
     random: sync::Mutex<fastrand::Rng>,
 }
 
@@ -177,6 +178,7 @@
             announced_expiries: sync::Mutex::default(),
             planner: sync::Mutex::default(),
             works: sync::Mutex::default(),
+            fetches: sync::Mutex::default(),
             random: sync::Mutex::new(fastrand::Rng::with_seed(parts.seed)),
             identity: parts.identity,
             executor: parts.executor,
@@ -365,6 +367,16 @@
         known.filter(|(_, until)| now < *until).map(|(planner, _)| planner)
     }
 
+    /// Marks a fetch of records as running; `None` if it already is.
+    pub(crate) fn start_fetch(
+        self: &Arc<NodeContext>,
+        range: &records::RecordRange,
+    ) -> Option<FetchMark> {
+        let key = (Arc::clone(&range.class), range.first, range.last);
+        let is_new = lock(&self.fetches).insert(key.clone());
+        is_new.then(|| FetchMark { context: Arc::clone(self), key })
+    }
+
     /// A token that is cancelled when this work has to end.
     pub(crate) fn track_work(&self, work: ownership::WorkId) -> CancellationToken {
         let token = CancellationToken::new();
@@ -395,6 +407,21 @@
     }
 }
 
+/// Class, first and last hash of records that are being fetched.
+type FetchKey = (Arc<str>, key::KeyHash, key::KeyHash);
+
+/// A fetch of records, running until it is dropped.
+pub(crate) struct FetchMark {
+    context: Arc<NodeContext>,
+    key: FetchKey,
+}
+
+impl Drop for FetchMark {
+    fn drop(&mut self) {
+        lock(&self.context.fetches).remove(&self.key);
+    }
+}
+
 /// Counts what is in flight; cheap to clone.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct InFlightCounter {
--- a/crates/node/src/replication.rs
+++ b/crates/node/src/replication.rs
@@ -14,6 +14,8 @@
 
 use crate::context;
 
+/// Time within which a member must send the records of a range.
+const FETCH_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 /// Time within which a replica must answer.
 const COPY_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
@@ -180,6 +182,19 @@
     range: &records::RecordRange,
     from: ident::IncarnationId,
     window: time::Duration,
+) -> bool {
+    let late = async {
+        context.sleep(FETCH_TIMEOUT).await;
+        false
+    };
+    fetch_all(context, range, from, window).or(late).await
+}
+
+async fn fetch_all(
+    context: &context::NodeContext,
+    range: &records::RecordRange,
+    from: ident::IncarnationId,
+    window: time::Duration,
 ) -> bool {
     let Some(address) = context.address_of(from) else { return false };
     context.records().begin_sync(range, from);
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -25,8 +25,6 @@
 const SMALL_SITE_DATAGRAMS: u64 = 60;
 /// Pause before a failed fetch of records is tried again.
 const FETCH_PAUSE: time::Duration = time::Duration::from_millis(200);
-/// Fetches of one slice before the next document or tick has to ask again.
-const MAX_FETCHES: u32 = 50;
 
 /// Advances the machine until the node stops.
 pub(crate) async fn run(context: Arc<context::NodeContext>) {
@@ -172,7 +170,7 @@
             let range = replication::range_of(slices, index);
             let now = context.clock.now();
             let known = context.records().sync_state(now, &range.class, range.first);
-            if known != records::SyncState::Missing || !slice.chain.iter().any(is_held) {
+            if known == records::SyncState::Synced || !slice.chain.iter().any(is_held) {
                 continue;
             }
             // The first owner ever may learn of it only after the chain has changed; while its
@@ -200,23 +198,34 @@
     }
 }
 
+/// Fetches the records of a slice until they are complete or the slice isn't this node's any more.
 fn fetch(context: &Arc<context::NodeContext>, range: records::RecordRange, window: time::Duration) {
+    let Some(mark) = context.start_fetch(&range) else { return };
     let node = Arc::clone(context);
-    let own = context.identity.incarnation;
     context.executor.spawn(async move {
-        for _ in 0..MAX_FETCHES {
-            let sources = sources(&node, &range);
-            for from in sources.into_iter().filter(|from| *from != own) {
+        while is_member(&node, &range) {
+            for from in sources(&node, &range) {
                 if replication::fetch(&node, &range, from, window).await {
                     return;
                 }
             }
             node.sleep(FETCH_PAUSE).await;
         }
-        log::warn!("records of class {} can't be fetched; another member is lost", range.class);
+        node.records().mark_incomplete(&range);
+        drop(mark);
     });
 }
 
+/// Whether the range is still a slice in whose chain this node stands.
+fn is_member(context: &context::NodeContext, range: &records::RecordRange) -> bool {
+    let document = context.assignment();
+    let own = context.identity.incarnation;
+    range_at(context, &range.class, range.first).is_some_and(|(current, slice, _)| {
+        let holders = slice.chain.iter().map(|lease| document.holder(*lease).incarnation);
+        current == *range && holders.into_iter().any(|holder| holder == own)
+    })
+}
+
 /// Members that may have the records: the chain, then the one before it.
 fn sources(
     context: &context::NodeContext,
@@ -226,8 +235,10 @@
     let Some((_, slice, _)) = range_at(context, &range.class, range.first) else {
         return Vec::new();
     };
+    let own = context.identity.incarnation;
     let leases = slice.chain.iter().chain(&slice.previous);
-    leases.map(|lease| document.holder(*lease).incarnation).collect()
+    let holders = leases.map(|lease| document.holder(*lease).incarnation);
+    holders.filter(|holder| *holder != own).collect()
 }
 
 /// Has the members probed in every round whose loss this node would have to notice, the owners
