Log and count callers that leave and what becomes of their requests

Cause: nothing said when a caller had left, so that the three hypotheses on work for callers that left could not be told apart. Conclusion: a missing first line, a completed request and two lines far apart now point at different causes. No decision changes.

--- a/crates/sidecar/src/answer.rs
+++ b/crates/sidecar/src/answer.rs
@@ -9,6 +9,7 @@
 use hyper::body;
 
 use crate::clock;
+use crate::failure::RequestFailure;
 use crate::worker;
 
 /// Part of an answer that is read before its head is passed on, in bytes. A shorter answer that
@@ -139,6 +140,14 @@
     }
 }
 
+/// The end of an attempt, for logs.
+pub(crate) fn describe(result: &Result<WorkerAnswer, RequestFailure>) -> String {
+    match result {
+        Ok(answer) => format!("status {}", answer.status.as_u16()),
+        Err(failure) => format!("{} ({:?})", failure.cause, failure.state),
+    }
+}
+
 async fn read_worker(incoming: &mut body::Incoming) -> Result<Option<Bytes>, AnswerCut> {
     loop {
         let Some(frame) = incoming.frame().await else { return Ok(None) };
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::connections;
 use crate::edge;
 use crate::failure::{FailureCause, RequestFailure};
+use crate::meter;
 use crate::request;
 use crate::view;
 use crate::worker;
@@ -60,7 +61,10 @@
         let dispatch = self.clone();
         let (sender, result) = smol::channel::bounded(1);
         smol::spawn(async move {
-            let result = dispatch.run_here(request, worker, gone).await;
+            let result = dispatch.run_here(&request, worker, &gone).await;
+            if gone.is_cancelled() {
+                note_left(&request, &result);
+            }
             // Nobody waits for the result of a request whose caller has left.
             let _ = sender.send(result).await;
         })
@@ -71,22 +75,22 @@
 
     async fn run_here(
         &self,
-        request: request::FleetRequest,
+        request: &request::FleetRequest,
         worker: member::WorkerName,
-        gone: CancellationToken,
+        gone: &CancellationToken,
     ) -> Result<answer::WorkerAnswer, RequestFailure> {
         let arrived = clock::now();
         self.side.check(&worker, &request.service)?;
         if let Some(key) = request.key {
             self.side.note_key(key);
-            self.await_grant(key, &request, &worker, &gone).await?;
+            self.await_grant(key, request, &worker, gone).await?;
         }
-        let permit = self.side.admit(&request, &gone).await?;
+        let permit = self.side.admit(request, gone).await?;
         self.side.check(&worker, &request.service)?;
         if request.key.is_some_and(|key| !self.side.desk().serves(clock::now(), key)) {
             return Err(RequestFailure::not_run(FailureCause::KeyNotHeld));
         }
-        let mut answer = self.send(&request, &worker, permit, &gone).await?;
+        let mut answer = self.send(request, &worker, permit, gone).await?;
         answer.spent = clock::now().since(arrived);
         Ok(answer)
     }
@@ -246,6 +250,20 @@
     }
 }
 
+/// Says how far a request got whose caller left.
+fn note_left(
+    request: &request::FleetRequest,
+    result: &Result<answer::WorkerAnswer, RequestFailure>,
+) {
+    meter::left_request(&request.route, result.is_ok());
+    log::info!(
+        request:% = request.id, route:% = request.route, outcome:% = answer::describe(result),
+        is_idempotent = request.is_idempotent,
+        left_us = request.deadline.since(clock::now()).0;
+        "ended after its caller had left"
+    );
+}
+
 /// Reads the refusal of a worker, so that the connection serves further requests.
 async fn refused(
     request: &request::FleetRequest,
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -106,7 +106,7 @@
             }
             log::info!(
                 request:% = request.id, worker:% = target.worker, service:% = request.service,
-                outcome:% = describe(&result), arrivals = history.arrivals, runs = history.runs,
+                outcome:% = answer::describe(&result), arrivals = history.arrivals, runs = history.runs,
                 left_us = request.deadline.since(clock::now()).0;
                 "attempt ended; trying again"
             );
@@ -381,10 +381,3 @@
         _ => choice::ChoiceResult::Failed,
     }
 }
-
-fn describe(result: &Result<answer::WorkerAnswer, RequestFailure>) -> String {
-    match result {
-        Ok(answer) => format!("status {}", answer.status.as_u16()),
-        Err(failure) => format!("{} ({:?})", failure.cause, failure.state),
-    }
-}
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -46,20 +46,22 @@
         let arrived = clock::now();
         let flight = self.flights.enter();
         let id: Arc<str> = text(http.headers(), &self.format.headers().request_id).into();
-        let mut route: Arc<str> = Arc::from("");
+        let mut note = LeaveNote { request: id, route: Arc::from(""), arrived, is_over: false };
         let mut target = time::Instant(u64::MAX);
-        let result = match self.accept(arrived, http, &mut route).await {
+        let result = match self.accept(arrived, http, &mut note.route).await {
             Ok((request, max_attempts)) => {
                 target = request.target;
                 self.forward(&request, max_attempts).await
             }
             Err(failure) => Err(failure),
         };
+        note.is_over = true;
+        let (id, route) = (&note.request, &note.route);
         let now = clock::now();
         let time = now.since(arrived);
         match result {
             Ok(answer) => {
-                meter::answered(&route, answer.status, time);
+                meter::answered(route, answer.status, time);
                 if answer.status.is_server_error() {
                     log::info!(
                         request:% = id, route:% = route, status = answer.status.as_u16(),
@@ -77,8 +79,8 @@
                 respond(answer, flight)
             }
             Err(failure) => {
-                meter::answered(&route, failure.status(), time);
-                meter::failed(&route, &failure);
+                meter::answered(route, failure.status(), time);
+                meter::failed(route, &failure);
                 log::info!(
                     request:% = id, route:% = route, cause:% = failure.cause,
                     state:? = failure.state, status = failure.status().as_u16(), time_us = time.0,
@@ -161,6 +163,28 @@
     }
 }
 
+/// Notes that the caller left when it is dropped before its request has an answer.
+struct LeaveNote {
+    request: Arc<str>,
+    /// Empty until the route is known.
+    route: Arc<str>,
+    arrived: time::Instant,
+    is_over: bool,
+}
+
+impl Drop for LeaveNote {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        meter::caller_left(&self.route);
+        log::info!(
+            request:% = self.request, route:% = self.route,
+            time_us = clock::now().since(self.arrived).0; "the caller left before its answer"
+        );
+    }
+}
+
 fn read_key(headers: &HeaderMap, name: &http::HeaderName) -> Result<u16, RequestFailure> {
     let key = text(headers, name).parse();
     key.map_err(|_| RequestFailure::not_run(FailureCause::BadRequest))
--- a/crates/sidecar/src/meter.rs
+++ b/crates/sidecar/src/meter.rs
@@ -24,6 +24,12 @@
 /// Ranges that changed their owner by a change that this node made; label `reason`.
 pub(crate) const RANGE_CHANGES: &str = "cornelridge_range_changes_total";
 
+/// Requests whose caller closed its connection before the answer; label `route`.
+pub(crate) const CALLERS_LEFT: &str = "cornelridge_callers_left_total";
+/// Requests at the worker's node whose caller left; labels `route` and `end`, which is `stopped` or
+/// `completed`.
+pub(crate) const LEFT_REQUESTS: &str = "cornelridge_left_requests_total";
+
 /// Counts an answer to a caller.
 pub(crate) fn answered(route: &Arc<str>, status: StatusCode, time: time::Duration) {
     let status = status.as_u16().to_string();
@@ -42,3 +48,14 @@
     let histogram = metrics::histogram!(SLOT_WAIT_SECONDS, "service" => Arc::clone(service));
     histogram.record(time.as_secs_f64());
 }
+
+/// Counts a caller that left before its answer.
+pub(crate) fn caller_left(route: &Arc<str>) {
+    metrics::counter!(CALLERS_LEFT, "route" => Arc::clone(route)).increment(1);
+}
+
+/// Counts the end of a request whose caller left.
+pub(crate) fn left_request(route: &Arc<str>, is_completed: bool) {
+    let end = if is_completed { "completed" } else { "stopped" };
+    metrics::counter!(LEFT_REQUESTS, "route" => Arc::clone(route), "end" => end).increment(1);
+}
