Test that work ends when its caller leaves, listed as red

Two tests fail on this code, by the deadline of 15 s in place of the caller's close: a caller that closes behind pipelined requests, and one that closes while the worker's answer arrives slowly. A third one passes and guards the order of pipelined answers.

--- /dev/null
+++ b/crates/sidecar/tests/leaving.rs
@@ -0,0 +1,99 @@
+//! Callers that close their connections before their requests are answered.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+mod standin;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use futures_lite::future::block_on;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use smol::net::TcpStream;
+use standin::worker::Behaviour;
+use standin::{Deployment, until};
+
+/// Time that a caller allows for a request; what ends earlier wasn't ended by its deadline.
+const DEADLINE: Duration = Duration::from_secs(15);
+
+async fn one_desk() -> Deployment {
+    let deployment = Deployment::start(&["desk"]).await;
+    deployment.configure(1);
+    deployment.settle("/read/x", None).await;
+    deployment
+}
+
+fn get(id: &str) -> String {
+    let deadline = DEADLINE.as_millis();
+    format!(
+        "GET /read/x HTTP/1.1\r\nhost: shop.example\r\nx-request: {id}\r\nx-deadline: {deadline}\r\n\r\n"
+    )
+}
+
+/// Opens a connection and sends requests without waiting for answers.
+async fn pipeline(address: SocketAddr, ids: &[&str]) -> TcpStream {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let requests: String = ids.iter().map(|id| get(id)).collect();
+    stream.write_all(requests.as_bytes()).await.unwrap();
+    stream
+}
+
+/// Guards against work for a caller that closed its connection while further requests waited on it.
+#[test]
+fn pipelined_requests_end_when_their_caller_leaves() {
+    block_on(async {
+        let deployment = one_desk().await;
+        let worker = &deployment.hosts[0].worker;
+        worker.behave(Behaviour::Hold);
+        let sent = Instant::now();
+        let address = deployment.hosts[0].node.addresses.callers;
+        let stream = pipeline(address, &["first", "second", "third"]).await;
+        until("the first one runs", || async { worker.runs("first") == 1 }).await;
+        drop(stream);
+        until("the first one is broken off", || async { worker.is_aborted("first") }).await;
+        assert!(sent.elapsed() < DEADLINE, "its deadline ended it, not its caller");
+        worker.release();
+        deployment.settle("/read/x", None).await;
+        assert_eq!(worker.runs("second") + worker.runs("third"), 0);
+    });
+}
+
+/// Guards against losing requests that a caller pipelines and waits for.
+#[test]
+fn pipelined_requests_are_answered_in_order() {
+    block_on(async {
+        let deployment = one_desk().await;
+        let address = deployment.hosts[0].node.addresses.callers;
+        let mut stream = pipeline(address, &["first", "second"]).await;
+        let mut text = String::new();
+        let mut buffer = [0; 1_024];
+        while !text.contains("answer to second") {
+            let count = stream.read(&mut buffer).await.unwrap();
+            assert!(count > 0, "the connection ended after {text:?}");
+            text.push_str(&String::from_utf8_lossy(&buffer[..count]));
+        }
+        assert!(text.find("answer to first").unwrap() < text.find("answer to second").unwrap());
+    });
+}
+
+/// Guards against a worker kept busy with the body of an answer that nobody reads.
+#[test]
+fn an_answer_that_arrives_slowly_ends_when_its_caller_leaves() {
+    block_on(async {
+        let deployment = Deployment::start(&["desk", "office"]).await;
+        deployment.configure(1);
+        deployment.settle("/read/x", None).await;
+        let worker = &deployment.hosts[0].worker;
+        worker.behave(Behaviour::Trickle);
+        // At the node beside the worker, and at another one.
+        for (host, id) in [(0, "near"), (1, "far")] {
+            let sent = Instant::now();
+            let address = deployment.hosts[host].node.addresses.callers;
+            let stream = pipeline(address, &[id]).await;
+            until("it runs", || async { worker.runs(id) == 1 }).await;
+            drop(stream);
+            until("it is broken off", || async { worker.is_aborted(id) }).await;
+            assert!(sent.elapsed() < DEADLINE, "its deadline ended it, not its caller");
+        }
+    });
+}
--- a/crates/sidecar/tests/standin/worker.rs
+++ b/crates/sidecar/tests/standin/worker.rs
@@ -1,22 +1,30 @@
 //! A worker on loopback that reports, holds keys and counts what it runs.
 
 use std::collections::HashMap;
+use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
 use event_listener::Event;
+use futures_lite::stream;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::Full;
-use hyper::body::Incoming;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
 use smol::net::TcpListener;
 use smol_hyper::rt::FuturesIo;
 
 use super::{StandInReply, StandInReport, send};
 
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+const TRICKLE_PAUSE: Duration = Duration::from_millis(50);
+/// A piece of an answer without end.
+const FLOOD: Bytes = Bytes::from_static(&[b'.'; 64 * 1024]);
+
+type WorkerBody = UnsyncBoxBody<Bytes, Infallible>;
 
 /// How the worker treats the requests that it gets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,6 +41,10 @@
     Fail,
     /// It runs them until it is told to answer.
     Hold,
+    /// It sends the head of its answer and then a byte from time to time, without end.
+    Trickle,
+    /// It sends the head of its answer and then bytes without end.
+    Flood,
 }
 
 struct WorkerState {
@@ -45,6 +57,7 @@
     aborted: Mutex<Vec<String>>,
     holds: Mutex<Vec<(u16, u16, u64)>>,
     is_leaving: AtomicBool,
+    sent: AtomicUsize,
 }
 
 /// A worker.
@@ -68,6 +81,7 @@
             aborted: Mutex::default(),
             holds: Mutex::default(),
             is_leaving: AtomicBool::new(false),
+            sent: AtomicUsize::new(0),
         });
         let worker = StandInWorker { address, state };
         let serving = worker.clone();
@@ -146,12 +160,17 @@
         self.state.headers.lock().unwrap().get(id).cloned()
     }
 
+    /// Bytes of answers without end that were produced.
+    pub(crate) fn sent(&self) -> usize {
+        self.state.sent.load(Ordering::Relaxed)
+    }
+
     /// Whether a request was broken off while it was held.
     pub(crate) fn is_aborted(&self, id: &str) -> bool {
         self.state.aborted.lock().unwrap().iter().any(|aborted| aborted == id)
     }
 
-    async fn run(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, &'static str> {
+    async fn run(&self, request: Request<Incoming>) -> Result<Response<WorkerBody>, &'static str> {
         let text = |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok());
         let id = text("x-request").unwrap_or_default().to_owned();
         self.state.headers.lock().unwrap().insert(id.clone(), request.headers().clone());
@@ -176,22 +195,44 @@
             Behaviour::Mistake => Ok(answer(StatusCode::OK, "another", false)),
             Behaviour::Fail => Ok(answer(StatusCode::INTERNAL_SERVER_ERROR, &id, false)),
             Behaviour::Hold => {
-                let mut mark = AbortMark { worker: self, id: Some(id.clone()) };
+                let mut mark = AbortMark { worker: self.clone(), id: Some(id.clone()) };
                 released.await;
                 mark.id = None;
                 Ok(answer(StatusCode::OK, &id, false))
             }
+            Behaviour::Trickle => Ok(self.endless(&id, Bytes::from_static(b"."), TRICKLE_PAUSE)),
+            Behaviour::Flood => Ok(self.endless(&id, FLOOD, Duration::ZERO)),
         }
     }
 }
 
+impl StandInWorker {
+    /// An answer whose body consists of `piece` again and again.
+    fn endless(&self, id: &str, piece: Bytes, pause: Duration) -> Response<WorkerBody> {
+        let mark = AbortMark { worker: self.clone(), id: Some(id.to_owned()) };
+        let frames = stream::unfold(mark, move |mark| {
+            let piece = piece.clone();
+            async move {
+                if !pause.is_zero() {
+                    smol::Timer::after(pause).await;
+                }
+                mark.worker.state.sent.fetch_add(piece.len(), Ordering::Relaxed);
+                Some((Ok(Frame::data(piece)), mark))
+            }
+        });
+        let mut response = answer(StatusCode::OK, id, false);
+        *response.body_mut() = StreamBody::new(Box::pin(frames)).boxed_unsync();
+        response
+    }
+}
+
 /// Notes that a held request was broken off when it is dropped.
-struct AbortMark<'a> {
-    worker: &'a StandInWorker,
+struct AbortMark {
+    worker: StandInWorker,
     id: Option<String>,
 }
 
-impl Drop for AbortMark<'_> {
+impl Drop for AbortMark {
     fn drop(&mut self) {
         if let Some(id) = self.id.take() {
             self.worker.state.aborted.lock().unwrap().push(id);
@@ -199,8 +240,9 @@
     }
 }
 
-fn answer(status: StatusCode, id: &str, is_refusal: bool) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(format!("answer to {id}"))));
+fn answer(status: StatusCode, id: &str, is_refusal: bool) -> Response<WorkerBody> {
+    let body = Full::new(Bytes::from(format!("answer to {id}")));
+    let mut response = Response::new(body.boxed_unsync());
     *response.status_mut() = status;
     let headers = response.headers_mut();
     headers.insert("x-request", id.parse().unwrap());
