Notice callers that leave behind pipelined requests

What callers saw: workers went on with requests of callers that had closed their connections, and began further ones of the same connection later. Cause: hyper doesn't read from a connection while an answer is due and bytes of a further request are in its buffer, so that it learns of the close only after the answer, when it takes the next request from the buffer. Ruled out: a close that is seen and not passed on (no line of the first node), and a late message between nodes (the test has one node). Change: the connection is read ahead, up to 64 KiB, while the server doesn't read; its end drops the connection and with it all its requests. Before: pipelined_requests_end_when_their_caller_leaves failed, ended by the deadline of 15 s. Conclusion: the end of a connection no longer depends on whether the server wants to read. A caller that has more than 64 KiB waiting is still noticed late.

--- a/crates/sidecar/src/http_server.rs
+++ b/crates/sidecar/src/http_server.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use cornelridge_model::time;
+use cornelridge_wire::watched;
 use futures_lite::future;
 use http::{Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
@@ -107,7 +108,24 @@
         .header_read_timeout(limits.idle_timeout.to_std())
         .max_buf_size(limits.header_bytes.max(LEAST_BUFFER_BYTES))
         .keep_alive(!closing.is_cancelled());
+    let (stream, watch) = watched::watch(stream);
     let connection = builder.serve_connection(FuturesIo::new(stream), service);
+    let served = run_connection(connection, peer, closing);
+    let left = async {
+        watch.closed().await;
+        log::debug!(peer:% = peer; "the peer closed its connection before all answers");
+    };
+    future::or(served, left).await;
+}
+
+/// Serves a connection to its end. After `closing` it ends with the answers that are due.
+async fn run_connection<S>(
+    connection: http1::Connection<FuturesIo<watched::WatchedStream>, S>,
+    peer: net::SocketAddr,
+    closing: CancellationToken,
+) where
+    S: service::HttpService<body::Incoming, ResBody = ServerBody, Error = Infallible>,
+{
     let mut connection = std::pin::pin!(connection);
     let ended = async {
         if let Err(error) = connection.as_mut().await {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod headers;
 pub mod identity;
 pub mod transport;
+pub mod watched;
 
 mod connection;
 mod peers;
--- /dev/null
+++ b/crates/wire/src/watched.rs
@@ -0,0 +1,113 @@
+//! A caller's connection that shows its end while the server doesn't read from it.
+//!
+//! `hyper` stops reading while an answer is due and bytes of a further request wait in its buffer,
+//! so that it learns only after the answer that its caller has closed the connection.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, ready};
+
+use bytes::{Buf, BytesMut};
+use futures_lite::{AsyncRead, AsyncWrite, future};
+use smol::net;
+
+/// Bytes that are read ahead on one connection. The close of a caller that has sent more than that
+/// behind an unanswered request is seen when the server reads on.
+const MAX_AHEAD_BYTES: usize = 64 * 1024;
+/// Bytes that are read at once.
+const READ_BYTES: usize = 4 * 1024;
+
+/// The side of the connection that the server reads and writes.
+#[derive(Debug)]
+pub struct WatchedStream {
+    stream: net::TcpStream,
+    ahead: Arc<Mutex<ReadAhead>>,
+}
+
+/// Sees the end of a connection whose server doesn't read.
+#[derive(Debug)]
+pub struct CloseWatch {
+    stream: net::TcpStream,
+    ahead: Arc<Mutex<ReadAhead>>,
+}
+
+/// What was read in place of the server.
+#[derive(Debug, Default)]
+struct ReadAhead {
+    data: BytesMut,
+    /// Whether the server waited for data when it was polled last, so that it sees the end itself.
+    is_reading: bool,
+}
+
+/// Watches a connection. Both sides have to be polled by the same task, the stream first.
+pub fn watch(stream: net::TcpStream) -> (WatchedStream, CloseWatch) {
+    let ahead = Arc::default();
+    let watch = CloseWatch { stream: stream.clone(), ahead: Arc::clone(&ahead) };
+    (WatchedStream { stream, ahead }, watch)
+}
+
+impl CloseWatch {
+    /// Completes when the caller has closed the connection, or it broke, while the server doesn't
+    /// read from it.
+    pub async fn closed(mut self) {
+        future::poll_fn(|context| self.poll_closed(context)).await;
+    }
+
+    fn poll_closed(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let mut ahead = lock(&self.ahead);
+        if std::mem::take(&mut ahead.is_reading) {
+            return Poll::Pending;
+        }
+        let mut buffer = [0; READ_BYTES];
+        while ahead.data.len() < MAX_AHEAD_BYTES {
+            match ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer)) {
+                Ok(0) | Err(_) => return Poll::Ready(()),
+                Ok(count) => ahead.data.extend_from_slice(&buffer[..count]),
+            }
+        }
+        Poll::Pending
+    }
+}
+
+impl AsyncRead for WatchedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let this = &mut *self;
+        let mut ahead = lock(&this.ahead);
+        if !ahead.data.is_empty() {
+            let count = buffer.len().min(ahead.data.len());
+            ahead.data.copy_to_slice(&mut buffer[..count]);
+            ahead.is_reading = false;
+            return Poll::Ready(Ok(count));
+        }
+        let read = Pin::new(&mut this.stream).poll_read(context, buffer);
+        ahead.is_reading = read.is_pending();
+        read
+    }
+}
+
+impl AsyncWrite for WatchedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        data: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, data)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(context)
+    }
+}
+
+fn lock(ahead: &Mutex<ReadAhead>) -> MutexGuard<'_, ReadAhead> {
+    ahead.lock().unwrap_or_else(PoisonError::into_inner)
+}
