End the reading of an answer when its caller leaves

What callers saw: nothing; workers and slots stayed busy with the bodies of answers whose callers had closed their connections. Cause: the worker's node listened for the caller's leaving while it waited for the head of an answer, not while it read the body, and the node that sends an answer on to another one didn't while it waited for the next piece. Ruled out: the message between nodes (the test fails at the worker's own node, too). Change: the whole exchange with the worker ends when the caller of an idempotent request leaves; an answer for another node ends when that node stops reading. Before: an_answer_that_arrives_slowly_ends_when_its_caller_leaves failed, ended by the deadline of 15 s. Conclusion: every wait of an idempotent request now ends with its caller; a request that must not be repeated still runs to its end.

--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -45,7 +45,12 @@
 enum SendEnd {
     Answered(Result<Response<body::Incoming>, connections::ExchangeError>),
     TimeUp,
-    CallerLeft,
+}
+
+/// Completes with a failure when the caller of a request that was sent has left.
+async fn given_up<T>(gone: &CancellationToken) -> Result<T, RequestFailure> {
+    gone.cancelled().await;
+    Err(RequestFailure::unknown(FailureCause::CallerLeft))
 }
 
 impl WorkerDispatch {
@@ -90,7 +95,11 @@
         if request.key.is_some_and(|key| !self.side.desk().serves(clock::now(), key)) {
             return Err(RequestFailure::not_run(FailureCause::KeyNotHeld));
         }
-        let mut answer = self.send(request, &worker, permit, gone).await?;
+        let sent = self.send(request, &worker, permit, gone);
+        let mut answer = match request.is_idempotent {
+            true => future::or(sent, given_up(gone)).await?,
+            false => sent.await?,
+        };
         answer.spent = clock::now().since(arrived);
         Ok(answer)
     }
@@ -143,14 +152,7 @@
                 clock::sleep_until(request.deadline + WORKER_GRACE).await;
                 SendEnd::TimeUp
             };
-            let left = async {
-                match request.is_idempotent {
-                    true => gone.cancelled().await,
-                    false => future::pending().await,
-                }
-                SendEnd::CallerLeft
-            };
-            match future::or(exchange, future::or(late, left)).await {
+            match future::or(exchange, late).await {
                 SendEnd::Answered(Ok(response)) => {
                     return self.answer(request, permit, connection, response).await;
                 }
@@ -169,9 +171,6 @@
                 SendEnd::TimeUp => {
                     return Err(RequestFailure::unknown(FailureCause::DeadlinePassed));
                 }
-                SendEnd::CallerLeft => {
-                    return Err(RequestFailure::unknown(FailureCause::CallerLeft));
-                }
             }
         }
         Err(RequestFailure::not_run(FailureCause::WorkerRefuses))
--- a/crates/sidecar/src/peers.rs
+++ b/crates/sidecar/src/peers.rs
@@ -250,8 +250,15 @@
                 future::or(dispatch.run(request, worker), given_up).await
             }
         };
-        let sent = self.send_result(&dispatch, &route, result, &mut writer).await;
-        if let Err(error) = sent {
+        let received = writer.received();
+        let stopped = async {
+            if received.await {
+                return future::pending().await;
+            }
+            Err(answer::AnswerCut { reason: "the other node stopped reading".to_owned() })
+        };
+        let sent = self.send_result(&dispatch, &route, result, &mut writer);
+        if let Err(error) = future::or(sent, stopped).await {
             log::debug!(error:% = error; "answer not delivered to another node");
         }
     }
