Put the tests with real nodes into one program

The stand-ins are compiled once for all of them; a file of tests that uses only some of the stand-ins no longer warns of the others. No test changes.

--- a/crates/sidecar/tests/leaving.rs
+++ b/crates/sidecar/tests/nodes/leaving.rs
@@ -1,17 +1,13 @@
 //! Callers that close their connections before their requests are answered.
 
-#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
-
-mod standin;
-
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use crate::standin::worker::Behaviour;
+use crate::standin::{Deployment, until};
 use futures_lite::future::block_on;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
-use standin::worker::Behaviour;
-use standin::{Deployment, until};
 
 /// Time that a caller allows for a request; what ends earlier wasn't ended by its deadline.
 const DEADLINE: Duration = Duration::from_secs(15);
--- /dev/null
+++ b/crates/sidecar/tests/nodes/main.rs
@@ -0,0 +1,7 @@
+//! Real nodes with stand-in workers and a store in memory.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+mod leaving;
+mod requests;
+mod standin;
--- a/crates/sidecar/tests/requests.rs
+++ b/crates/sidecar/tests/nodes/requests.rs
@@ -1,17 +1,14 @@
 //! Requests through real nodes: answers, refusals, repeats, callers and workers that leave.
 
-#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
-
-mod standin;
-
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::standin;
+use crate::standin::store::MemoryStore;
+use crate::standin::worker::Behaviour;
+use crate::standin::{Deployment, until};
 use futures_lite::future::block_on;
 use http::StatusCode;
-use standin::store::MemoryStore;
-use standin::worker::Behaviour;
-use standin::{Deployment, until};
 
 async fn two_desks() -> Deployment {
     let deployment = Deployment::start(&["desk", "desk"]).await;
