--- /dev/null
+++ b/crates/sidecar/tests/nodes/following.rs
@@ -0,0 +1,84 @@
+//! Nodes that learn of the others from another node in place of the store.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::standin::{Deployment, until};
+use cornelridge_fleet::member::{MemberEntry, MemberState};
+use cornelridge_store::items::ItemStore;
+use cornelridge_wire::generated::{
+    FeedFetch, FeedFrame, LoadAnswer, LoadFetch, StreamHead, stream_head,
+};
+use cornelridge_wire::identity::{PinSet, TlsIdentity};
+use cornelridge_wire::transport::{EndpointSettings, NodeEndpoint};
+use futures_lite::future;
+use futures_lite::future::block_on;
+
+/// Time within which a node sends the first message of a stream, or ends it.
+const FIRST_MESSAGE: Duration = Duration::from_secs(5);
+
+/// Joins a deployment without a worker and without serving anything.
+async fn join(deployment: &Deployment) -> NodeEndpoint {
+    let pins = PinSet::default();
+    let (identity, pin) = TlsIdentity::pinned("visitor", pins.clone()).unwrap();
+    let listen = "127.0.0.1:0".parse().unwrap();
+    let endpoint = NodeEndpoint::bind(EndpointSettings { listen, identity }).unwrap();
+    let entry = MemberEntry {
+        node: Arc::from("visitor"),
+        run: 1,
+        zone: Arc::from("zone"),
+        peer: endpoint.local_address(),
+        pin: pin.into(),
+        state: MemberState::Serving,
+        worker: None,
+    };
+    let entry = serde_json::to_string(&entry).unwrap();
+    deployment.store.put("cornelridge/nodes/visitor", &entry);
+    let members = deployment.store.list("cornelridge/nodes/").await.unwrap().items;
+    let pin = |value: &[u8]| serde_json::from_slice::<MemberEntry>(value).unwrap().pin;
+    pins.replace(members.iter().map(|item| pin(&item.value)));
+    endpoint
+}
+
+/// The first message that a node sends on a stream of this kind, if it sends one.
+async fn first<M: prost::Message + Default>(
+    visitor: &NodeEndpoint,
+    node: SocketAddr,
+    kind: stream_head::Kind,
+) -> Option<M> {
+    let head = StreamHead { kind: Some(kind) };
+    let (mut writer, mut reader) = visitor.open_stream(node, &head).await.ok()?;
+    writer.finish().await.ok()?;
+    let first = async { reader.receive_document().await.ok().flatten() };
+    let late = async {
+        smol::Timer::after(FIRST_MESSAGE).await;
+        None
+    };
+    future::or(first, late).await
+}
+
+/// Guards against nodes that feed one another what they read long ago, without any of them reading
+/// the store: only a node that watches the store itself may feed others.
+#[test]
+fn a_node_that_follows_another_one_feeds_nobody() {
+    block_on(async {
+        let deployment = Deployment::start(&["desk"; 8]).await;
+        deployment.configure(1);
+        deployment.settle("/read/x", None).await;
+        until("three nodes watch the store", || async { deployment.store.watching() <= 3 }).await;
+        let visitor = join(&deployment).await;
+        let nodes = deployment.hosts.iter().map(|host| host.node.addresses.peers);
+        let mut feeding = 0;
+        for node in nodes {
+            until("the visitor is accepted", || async {
+                let fetch = stream_head::Kind::LoadFetch(LoadFetch {});
+                first::<LoadAnswer>(&visitor, node, fetch).await.is_some()
+            })
+            .await;
+            let fetch = stream_head::Kind::FeedFetch(FeedFetch { revision: 0 });
+            feeding += usize::from(first::<FeedFrame>(&visitor, node, fetch).await.is_some());
+        }
+        assert_eq!(feeding, 3, "as many as watch the store");
+    });
+}
