Log which node is followed, and record how far the store is known

Cause: a node whose view stands still while it receives heartbeats logs nothing, and no line says which node it follows. Change: one line when a feed begins, with its first revision, and a gauge of the known revision, which can be compared between nodes. No decision changes.

--- a/crates/sidecar/src/feed.rs
+++ b/crates/sidecar/src/feed.rs
@@ -189,7 +189,7 @@
         for source in self.sources() {
             let from = self.view.revision();
             let Some(reader) = self.links.open_feed(&source, from).await else { continue };
-            let frames = self.read(reader).await;
+            let frames = self.read(&source, reader).await;
             if frames > 0 {
                 log::info!(source:% = source.node, frames; "feed ended");
                 return;
@@ -221,11 +221,17 @@
     }
 
     /// Reads frames until the feed ends; returns how many came.
-    async fn read(&self, mut reader: transport::FrameReader) -> u64 {
+    async fn read(&self, source: &member::MemberEntry, mut reader: transport::FrameReader) -> u64 {
         let mut frames = 0;
         loop {
             let next = reader.receive_document::<generated::FeedFrame>();
             let Some(Ok(Some(frame))) = clock::within(SILENCE, next).await else { return frames };
+            if frames == 0 {
+                log::info!(
+                    source:% = source.node, revision = frame.revision, known = self.view.revision();
+                    "following another node"
+                );
+            }
             frames += 1;
             self.take(frame);
             if self.is_source() {
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -12,6 +12,7 @@
 use crate::clock;
 use crate::edge;
 use crate::feed;
+use crate::meter;
 use crate::view;
 use crate::view::lock;
 
@@ -161,6 +162,7 @@
 
 fn finish_batch(view: &view::FleetView, revision: u64) {
     view.revision.fetch_max(revision, Ordering::Relaxed);
+    meter::known_revision(view.revision());
     view.is_read.store(true, Ordering::Relaxed);
     view.refresh_pins();
     view.notify();
--- a/crates/sidecar/src/meter.rs
+++ b/crates/sidecar/src/meter.rs
@@ -29,6 +29,8 @@
 /// Requests at the worker's node whose caller left; labels `route` and `end`, which is `stopped` or
 /// `completed`.
 pub(crate) const LEFT_REQUESTS: &str = "cornelridge_left_requests_total";
+/// Revision of the store up to which members and ranges are known.
+pub(crate) const KNOWN_REVISION: &str = "cornelridge_known_revision";
 
 /// Counts an answer to a caller.
 pub(crate) fn answered(route: &Arc<str>, status: StatusCode, time: time::Duration) {
@@ -59,3 +61,8 @@
     let end = if is_completed { "completed" } else { "stopped" };
     metrics::counter!(LEFT_REQUESTS, "route" => Arc::clone(route), "end" => end).increment(1);
 }
+
+/// Records how far the store is known.
+pub(crate) fn known_revision(revision: u64) {
+    metrics::gauge!(KNOWN_REVISION).set(revision as f64);
+}
