Let only nodes that watch the store feed others

Cause: a node that followed another one fed others in turn. A node that starts doesn't know its own rank yet and may follow a node that ranks behind it; when that one, having lost its own rank, follows the new node, both pass the same old list to one another, each complete list starting a new epoch. Heartbeats go on, so that neither of them, nor their followers, turn to the store. Ruled out: the store (its other watchers were up to date), the links (new connections were refused by certificates that the frozen views lacked). Change: a node feeds others only while its own view comes from the store. Who can follow nobody watches the store itself until somebody can be followed. Conclusion: a chain of feeds is one node long, so that a circle can't form; the freshness of a view is that of one watch of the store.

--- a/crates/sidecar/src/feed.rs
+++ b/crates/sidecar/src/feed.rs
@@ -2,10 +2,11 @@
 //!
 //! Every watch of the store is paid for and wakes with each change, so that the calls would grow
 //! with the square of the nodes. The first members watch; the others follow one of them, and watch
-//! themselves as long as none can be followed.
+//! themselves as long as none can be followed. What was received from another node isn't passed on.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use cornelridge_fleet::member;
@@ -143,7 +144,9 @@
     }
 }
 
-/// Feeds one other node until the connection ends or this node may be cut off from the store.
+/// Feeds one other node until the connection ends, this node follows another one itself, or it may
+/// be cut off from the store. If followers fed others, nodes with different views could follow one
+/// another in a circle in which nobody reads the store.
 pub(crate) async fn serve(
     view: Arc<view::FleetView>,
     side: Arc<worker::WorkerSide>,
@@ -151,7 +154,8 @@
     mut writer: transport::FrameWriter,
 ) {
     let mut cursor = FeedCursor::new(from);
-    while side.tenure().is_renewed_within(clock::now(), STALE_AFTER) {
+    let is_from_store = || !view.is_fed.load(Ordering::Relaxed);
+    while is_from_store() && side.tenure().is_renewed_within(clock::now(), STALE_AFTER) {
         let frame = cursor.next(&lock(&view.items));
         if let Some(frame) = frame {
             let size: usize =
@@ -190,6 +194,7 @@
             let from = self.view.revision();
             let Some(reader) = self.links.open_feed(&source, from).await else { continue };
             let frames = self.read(&source, reader).await;
+            self.view.is_fed.store(false, Ordering::Relaxed);
             if frames > 0 {
                 log::info!(source:% = source.node, frames; "feed ended");
                 return;
@@ -227,6 +232,7 @@
             let next = reader.receive_document::<generated::FeedFrame>();
             let Some(Ok(Some(frame))) = clock::within(SILENCE, next).await else { return frames };
             if frames == 0 {
+                self.view.is_fed.store(true, Ordering::Relaxed);
                 log::info!(
                     source:% = source.node, revision = frame.revision, known = self.view.revision();
                     "following another node"
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -43,6 +43,8 @@
     pub(crate) newest_version: AtomicU64,
     /// Whether the members and ranges have been read at least once.
     pub(crate) is_read: AtomicBool,
+    /// Whether the members and ranges come from another node at present, not from the store.
+    pub(crate) is_fed: AtomicBool,
     /// Certificates of the members.
     pub(crate) pins: identity::PinSet,
 }
