Bound the heads and bodies of workers' answers

What callers saw: a worker that sends interim answers or a body without end occupied its node and its slot until the request's deadline. Cause: answers were bounded by time only; the head by the buffer of hyper (about 400 KiB a connection), which interim answers and bodies don't fill. Change: a connection to the worker fails when more is received than 128 KiB before an answer begins, or 32 MiB of its body; a head has at most 64 KiB. The caller gets 502, or an answer that visibly ends early. Before: endless::interim_answers_without_end_are_broken_off failed (504 at the deadline), endless::a_body_without_end_is_broken_off failed (14,616,740 bytes when the deadline ended it); a_head_without_end_is_broken_off passed, by the buffer. After: 3 passed in 0.14 s. Ruled out: the reports of workers and answers of the store, bounded already (MAX_REPORT_BYTES, MAX_ANSWER_BYTES of the store's pool). Conclusion: what a worker can make its node read is bounded by size and time.

--- a/crates/sidecar/src/connections.rs
+++ b/crates/sidecar/src/connections.rs
@@ -11,6 +11,7 @@
 use hyper::client::conn::http1;
 use smol_hyper::rt::FuturesIo;
 
+use crate::bounded;
 use crate::clock;
 use crate::view::lock;
 
@@ -30,6 +31,14 @@
 /// must not be repeated.
 const DISTRUST: time::Duration = time::Duration::from_secs(10);
 
+/// Largest head of an answer, in bytes; workers send a few headers.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Most bytes that a worker may send until its answer begins, those of interim answers included.
+/// The read that completes a head may hold as much of the body.
+const HEAD_ALLOWANCE: usize = 2 * MAX_HEAD_BYTES;
+/// Most bytes of an answer's body; more than a link of 200 Mbit/s carries in a second.
+const MAX_BODY_BYTES: usize = 32 * 1024 * 1024;
+
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// An exchange that failed.
@@ -62,16 +71,24 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    sender: Sender,
+    line: WorkerLine,
     since: time::Instant,
     until: time::Instant,
 }
 
+/// An open connection.
+#[derive(Debug)]
+struct WorkerLine {
+    sender: Sender,
+    /// What the worker may send next.
+    allowance: bounded::ReadAllowance,
+}
+
 /// A connection that is used for one request.
 #[derive(Debug)]
 pub(crate) struct PooledConnection {
     pool: Arc<ConnectionPool>,
-    sender: Sender,
+    line: WorkerLine,
     idle_limit: time::Duration,
     /// Whether it has served a request before.
     pub(crate) is_reused: bool,
@@ -98,30 +115,30 @@
         self: &Arc<ConnectionPool>,
         is_idempotent: bool,
     ) -> Result<PooledConnection, ConnectError> {
-        while let Some(mut sender) = self.take_idle(is_idempotent) {
-            if let Some(Ok(())) = clock::within(READY_TIMEOUT, sender.ready()).await {
-                return Ok(self.pooled(sender, true));
+        while let Some(mut line) = self.take_idle(is_idempotent) {
+            if let Some(Ok(())) = clock::within(READY_TIMEOUT, line.sender.ready()).await {
+                return Ok(self.pooled(line, true));
             }
         }
-        let sender = connect(self.address).await?;
+        let line = connect(self.address).await?;
         metrics::counter!(crate::meter::WORKER_CONNECTIONS).increment(1);
-        Ok(self.pooled(sender, false))
+        Ok(self.pooled(line, false))
     }
 
-    fn pooled(self: &Arc<ConnectionPool>, sender: Sender, is_reused: bool) -> PooledConnection {
-        PooledConnection { pool: Arc::clone(self), sender, idle_limit: IDLE_LIMIT, is_reused }
+    fn pooled(self: &Arc<ConnectionPool>, line: WorkerLine, is_reused: bool) -> PooledConnection {
+        PooledConnection { pool: Arc::clone(self), line, idle_limit: IDLE_LIMIT, is_reused }
     }
 
-    fn take_idle(&self, is_idempotent: bool) -> Option<Sender> {
+    fn take_idle(&self, is_idempotent: bool) -> Option<WorkerLine> {
         let now = clock::now();
         let is_distrusted = now < *lock(&self.distrusted_until);
         let mut idle = lock(&self.idle);
-        idle.retain(|connection| now < connection.until && !connection.sender.is_closed());
+        idle.retain(|connection| now < connection.until && !connection.line.sender.is_closed());
         let last = idle.last()?;
         if !is_idempotent && (is_distrusted || now.since(last.since) > FRESH_IDLE) {
             return None;
         }
-        idle.pop().map(|connection| connection.sender)
+        idle.pop().map(|connection| connection.line)
     }
 }
 
@@ -131,25 +148,26 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<body::Incoming>, ExchangeError> {
-        let response =
-            self.sender.try_send_request(request).await.map_err(|mut error| {
-                match error.take_message() {
-                    Some(_) => ExchangeError::NotSent,
-                    None => ExchangeError::Broken(error.into_error().to_string()),
-                }
-            })?;
+        self.line.allowance.set(HEAD_ALLOWANCE);
+        let response = self.line.sender.try_send_request(request).await.map_err(|mut error| {
+            match error.take_message() {
+                Some(_) => ExchangeError::NotSent,
+                None => ExchangeError::Broken(error.into_error().to_string()),
+            }
+        })?;
+        self.line.allowance.set(MAX_BODY_BYTES);
         self.idle_limit = idle_limit(response.headers());
         Ok(response)
     }
 
     /// Returns a connection whose answer was read to its end.
     pub(crate) fn put_back(self) {
-        if self.sender.is_closed() || self.idle_limit == time::Duration::ZERO {
+        if self.line.sender.is_closed() || self.idle_limit == time::Duration::ZERO {
             return;
         }
         let since = clock::now();
         let until = since + self.idle_limit;
-        lock(&self.pool.idle).push(IdleConnection { sender: self.sender, since, until });
+        lock(&self.pool.idle).push(IdleConnection { line: self.line, since, until });
     }
 }
 
@@ -166,7 +184,8 @@
     }
 }
 
-async fn connect(address: net::SocketAddr) -> Result<Sender, ConnectError> {
+async fn connect(address: net::SocketAddr) -> Result<WorkerLine, ConnectError> {
+    let allowance = bounded::ReadAllowance::default();
     let attempt = async {
         let stream =
             smol::net::TcpStream::connect(address).await.map_err(|error| match error.kind() {
@@ -175,7 +194,11 @@
             })?;
         let failed = |reason: String| ConnectError::Failed(reason);
         stream.set_nodelay(true).map_err(|error| failed(error.to_string()))?;
-        http1::handshake(FuturesIo::new(stream)).await.map_err(|error| failed(error.to_string()))
+        let stream = bounded::BoundedStream::new(stream, allowance.clone());
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
+        let handshake = builder.handshake(FuturesIo::new(stream));
+        handshake.await.map_err(|error| failed(error.to_string()))
     };
     let connected = clock::within(CONNECT_TIMEOUT, attempt).await;
     let late = || Err(ConnectError::Failed("no connection in time".to_owned()));
@@ -186,7 +209,7 @@
         }
     })
     .detach();
-    Ok(sender)
+    Ok(WorkerLine { sender, allowance })
 }
 
 /// Whether a process listens at the address of the worker; only a refusal counts as `false`.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod request;
 pub mod settings;
 
+mod bounded;
 mod connections;
 mod dispatch;
 mod flight;
--- /dev/null
+++ b/crates/sidecar/tests/nodes/endless.rs
@@ -0,0 +1,79 @@
+//! Workers that send bytes without end.
+
+use std::time::Instant;
+
+use futures_lite::AsyncReadExt;
+use futures_lite::future::block_on;
+
+use crate::leaving::{DEADLINE, one_desk, pipeline};
+use crate::standin::until;
+use crate::standin::worker::Behaviour;
+
+/// Reads what a caller is sent until its connection ends; returns the first bytes and their number.
+async fn read_to_end(mut stream: smol::net::TcpStream) -> (String, usize) {
+    let (mut start, mut total) = (String::new(), 0);
+    let mut buffer = vec![0; 64 * 1024];
+    while let Ok(count @ 1..) = stream.read(&mut buffer).await {
+        if total == 0 {
+            start = String::from_utf8_lossy(&buffer[..count.min(64)]).into_owned();
+        }
+        total += count;
+        if start.starts_with("HTTP/1.1 50") {
+            break;
+        }
+    }
+    (start, total)
+}
+
+/// Sends requests until the worker has flooded a connection in place of an answer, and checks that
+/// the flood ends by its size.
+fn check_head(behaviour: Behaviour) {
+    block_on(async {
+        let deployment = one_desk().await;
+        let worker = &deployment.hosts[0].worker;
+        worker.behave(behaviour);
+        let address = deployment.hosts[0].node.addresses.callers;
+        let sent = Instant::now();
+        let mut attempt = 0;
+        while worker.begun_floods() == 0 {
+            attempt += 1;
+            let stream = pipeline(address, &[&format!("flooded-{attempt}")]).await;
+            let (start, _) = read_to_end(stream).await;
+            assert!(start.starts_with("HTTP/1.1 502"), "{start}");
+        }
+        until("the worker is cut off", || async { worker.floods() == 0 }).await;
+        assert!(sent.elapsed() < DEADLINE, "the deadline ended it, not its size");
+        worker.release();
+        deployment.settle("/read/x", None).await;
+    });
+}
+
+/// Guards against a worker that fills the memory of its node with one head.
+#[test]
+fn a_head_without_end_is_broken_off() {
+    check_head(Behaviour::FloodHead);
+}
+
+/// Guards against a worker that occupies its node with interim answers.
+#[test]
+fn interim_answers_without_end_are_broken_off() {
+    check_head(Behaviour::FloodInterim);
+}
+
+/// Guards against a worker that sends a body for as long as the request may take.
+#[test]
+fn a_body_without_end_is_broken_off() {
+    block_on(async {
+        let deployment = one_desk().await;
+        let worker = &deployment.hosts[0].worker;
+        worker.behave(Behaviour::FloodBody);
+        let sent = Instant::now();
+        let address = deployment.hosts[0].node.addresses.callers;
+        let (start, total) = read_to_end(pipeline(address, &["endless"]).await).await;
+        assert!(start.starts_with("HTTP/1.1 200"), "{start}");
+        assert!(sent.elapsed() < DEADLINE, "the deadline ended it after {total} bytes");
+        until("the worker is cut off", || async { worker.is_aborted("endless") }).await;
+        worker.release();
+        deployment.settle("/read/x", None).await;
+    });
+}
--- a/crates/sidecar/tests/nodes/leaving.rs
+++ b/crates/sidecar/tests/nodes/leaving.rs
@@ -10,9 +10,9 @@
 use smol::net::TcpStream;
 
 /// Time that a caller allows for a request; what ends earlier wasn't ended by its deadline.
-const DEADLINE: Duration = Duration::from_secs(15);
+pub(crate) const DEADLINE: Duration = Duration::from_secs(15);
 
-async fn one_desk() -> Deployment {
+pub(crate) async fn one_desk() -> Deployment {
     let deployment = Deployment::start(&["desk"]).await;
     deployment.configure(1);
     deployment.settle("/read/x", None).await;
@@ -27,7 +27,7 @@
 }
 
 /// Opens a connection and sends requests without waiting for answers.
-async fn pipeline(address: SocketAddr, ids: &[&str]) -> TcpStream {
+pub(crate) async fn pipeline(address: SocketAddr, ids: &[&str]) -> TcpStream {
     let mut stream = TcpStream::connect(address).await.unwrap();
     let requests: String = ids.iter().map(|id| get(id)).collect();
     stream.write_all(requests.as_bytes()).await.unwrap();
--- a/crates/sidecar/tests/nodes/standin/worker.rs
+++ b/crates/sidecar/tests/nodes/standin/worker.rs
@@ -9,12 +9,12 @@
 
 use bytes::Bytes;
 use event_listener::Event;
-use futures_lite::stream;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, stream};
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
-use smol::net::TcpListener;
+use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::FuturesIo;
 
 use super::{StandInReply, StandInReport, send};
@@ -44,7 +44,11 @@
     /// It sends the head of its answer and then a byte from time to time, without end.
     Trickle,
     /// It sends the head of its answer and then bytes without end.
-    Flood,
+    FloodBody,
+    /// It sends a head without end.
+    FloodHead,
+    /// It sends interim answers without end.
+    FloodInterim,
 }
 
 struct WorkerState {
@@ -57,7 +61,8 @@
     aborted: Mutex<Vec<String>>,
     holds: Mutex<Vec<(u16, u16, u64)>>,
     is_leaving: AtomicBool,
-    sent: AtomicUsize,
+    floods: AtomicUsize,
+    begun_floods: AtomicUsize,
 }
 
 /// A worker.
@@ -81,7 +86,8 @@
             aborted: Mutex::default(),
             holds: Mutex::default(),
             is_leaving: AtomicBool::new(false),
-            sent: AtomicUsize::new(0),
+            floods: AtomicUsize::new(0),
+            begun_floods: AtomicUsize::new(0),
         });
         let worker = StandInWorker { address, state };
         let serving = worker.clone();
@@ -93,7 +99,11 @@
                     let worker = worker.clone();
                     async move { worker.run(request).await }
                 });
+                let flooding = serving.clone();
                 smol::spawn(async move {
+                    if let Some(piece) = flooding.raw_flood() {
+                        return flooding.flood(stream, piece).await;
+                    }
                     let io = FuturesIo::new(stream);
                     let builder = hyper::server::conn::http1::Builder::new();
                     let _ = builder.serve_connection(io, service).await;
@@ -160,9 +170,37 @@
         self.state.headers.lock().unwrap().get(id).cloned()
     }
 
-    /// Bytes of answers without end that were produced.
-    pub(crate) fn sent(&self) -> usize {
-        self.state.sent.load(Ordering::Relaxed)
+    /// Answers without end that are being sent.
+    pub(crate) fn floods(&self) -> usize {
+        self.state.floods.load(Ordering::Relaxed)
+    }
+
+    /// Answers without end that were begun.
+    pub(crate) fn begun_floods(&self) -> usize {
+        self.state.begun_floods.load(Ordering::Relaxed)
+    }
+
+    /// What a connection sends without end in place of answers.
+    fn raw_flood(&self) -> Option<&'static [u8]> {
+        match *self.state.behaviour.lock().unwrap() {
+            Behaviour::FloodHead => Some(b"x-more: more\r\n"),
+            Behaviour::FloodInterim => Some(b"HTTP/1.1 102 Processing\r\n\r\n"),
+            _ => None,
+        }
+    }
+
+    /// Sends a piece again and again behind the first request, until the connection is closed.
+    async fn flood(&self, mut stream: TcpStream, piece: &[u8]) {
+        let mut request = [0; 1024];
+        if !matches!(stream.read(&mut request).await, Ok(count) if count > 0) {
+            return;
+        }
+        let _mark = FloodMark::new(self);
+        let mut data = piece.repeat(1024);
+        if piece.starts_with(b"x-") {
+            data.splice(0..0, *b"HTTP/1.1 200 OK\r\n");
+        }
+        while stream.write_all(&data).await.is_ok() {}
     }
 
     /// Whether a request was broken off while it was held.
@@ -191,7 +229,8 @@
         *self.state.runs.lock().unwrap().entry(id.clone()).or_default() += 1;
         match behaviour {
             Behaviour::Answer | Behaviour::Shed => Ok(answer(StatusCode::OK, &id, false)),
-            Behaviour::Reset => Err("reset"),
+            // Connections from before begin anew and are then flooded.
+            Behaviour::Reset | Behaviour::FloodHead | Behaviour::FloodInterim => Err("reset"),
             Behaviour::Mistake => Ok(answer(StatusCode::OK, "another", false)),
             Behaviour::Fail => Ok(answer(StatusCode::INTERNAL_SERVER_ERROR, &id, false)),
             Behaviour::Hold => {
@@ -201,7 +240,7 @@
                 Ok(answer(StatusCode::OK, &id, false))
             }
             Behaviour::Trickle => Ok(self.endless(&id, Bytes::from_static(b"."), TRICKLE_PAUSE)),
-            Behaviour::Flood => Ok(self.endless(&id, FLOOD, Duration::ZERO)),
+            Behaviour::FloodBody => Ok(self.endless(&id, FLOOD, Duration::ZERO)),
         }
     }
 }
@@ -216,7 +255,6 @@
                 if !pause.is_zero() {
                     smol::Timer::after(pause).await;
                 }
-                mark.worker.state.sent.fetch_add(piece.len(), Ordering::Relaxed);
                 Some((Ok(Frame::data(piece)), mark))
             }
         });
@@ -226,6 +264,23 @@
     }
 }
 
+/// Counts an answer without end while it is sent.
+struct FloodMark(StandInWorker);
+
+impl FloodMark {
+    fn new(worker: &StandInWorker) -> FloodMark {
+        worker.state.floods.fetch_add(1, Ordering::Relaxed);
+        worker.state.begun_floods.fetch_add(1, Ordering::Relaxed);
+        FloodMark(worker.clone())
+    }
+}
+
+impl Drop for FloodMark {
+    fn drop(&mut self) {
+        self.0.state.floods.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Notes that a held request was broken off when it is dropped.
 struct AbortMark {
     worker: StandInWorker,
