Notice callers that leave behind pipelined requests in the other node

Cause: the same as in crates/sidecar: hyper doesn't read while an answer is due and bytes of a further request are in its buffer. Change: the callers' endpoint of crates/node watches its connections with cornelridge_wire::watched.

--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use cornelridge_model::class;
 use cornelridge_model::time;
+use cornelridge_wire::watched;
 use futures_lite::{FutureExt, future};
 use http::{HeaderMap, HeaderValue, Request, Response, header};
 use hyper::body::{self, Body};
@@ -98,26 +99,34 @@
         let task = smol::spawn(async move { handle(&context, peer, request).await });
         async move { Ok::<_, convert::Infallible>(task.await) }
     });
+    let (stream, watch) = watched::watch(stream);
     let connection = builder.serve_connection(FuturesIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let is_closing = async {
         closing.cancelled().await;
         false
     };
-    let ended = async {
-        if let Err(error) = connection.as_mut().await {
+    let served = async {
+        let ended = async {
+            if let Err(error) = connection.as_mut().await {
+                log::debug!("connection of caller {peer} ended: {error}");
+            }
+            true
+        };
+        if ended.or(silent).or(is_closing).await {
+            return;
+        }
+        // Requests in flight still get their answers; the connection closes after them.
+        connection.as_mut().graceful_shutdown();
+        if let Err(error) = connection.await {
             log::debug!("connection of caller {peer} ended: {error}");
         }
-        true
     };
-    if ended.or(silent).or(is_closing).await {
-        return;
-    }
-    // Requests in flight still get their answers; the connection closes after them.
-    connection.as_mut().graceful_shutdown();
-    if let Err(error) = connection.await {
-        log::debug!("connection of caller {peer} ended: {error}");
-    }
+    let left = async {
+        watch.closed().await;
+        log::debug!("caller {peer} closed its connection before all answers");
+    };
+    served.or(left).await;
 }
 
 /// Ends when no request has begun in time. The timeout of `hyper` starts only after the HTTP
--- a/crates/standin/tests/leaving.rs
+++ b/crates/standin/tests/leaving.rs
@@ -8,6 +8,7 @@
 use cornelridge_standin::mesh::Mesh;
 use cornelridge_standin::payload;
 use cornelridge_standin::upstream::ExecutionEnd;
+use futures_lite::AsyncWriteExt;
 use support::{KEYED, LIMIT, ONCE, Reply};
 
 /// Executions elsewhere during which a host that has left must execute nothing.
@@ -153,3 +154,28 @@
 fn a_leaving_node_finishes_a_long_request_in_flight() {
     in_flight_ends("5000", true);
 }
+
+/// Guards against work for a caller that closed its connection while further requests waited on it.
+#[test]
+fn pipelined_requests_of_a_caller_that_left_are_not_executed() {
+    support::run(async {
+        let mesh = support::start(support::single(KEYED, 3)).await;
+        let owner = mesh.owner(KEYED, b"key-0").unwrap();
+        let target = mesh.hosts[owner].node.as_ref().unwrap().caller_address;
+        let service = payload::SERVICE_HEADER;
+        let request = format!(
+            "GET /{KEYED}/x HTTP/1.1\r\nhost: a\r\ncornelridge-key: key-0\r\n{service}: 3000\r\n\r\n"
+        );
+        let before = mesh.hosts[owner].upstream.counts().executed;
+        let mut stream = smol::net::TcpStream::connect(target).await.unwrap();
+        stream.write_all(request.repeat(3).as_bytes()).await.unwrap();
+        let executed = || mesh.hosts[owner].upstream.counts().executed - before;
+        support::until("the first one is executed", || executed() > 0).await;
+        drop(stream);
+        support::until("it has ended", || is_idle(&mesh, owner)).await;
+        let headers = [("cornelridge-key", "key-0")];
+        let reply = support::call(target, support::get(KEYED, &headers)).await;
+        assert!(reply.is_some());
+        assert_eq!(executed(), 2, "one that was begun, and the one of the caller that stayed");
+    });
+}
