--- a/crates/sidecar/src/feed.rs
+++ b/crates/sidecar/src/feed.rs
@@ -146,7 +146,7 @@
 
 /// Feeds one other node until the connection ends, this node follows another one itself, or it may
 /// be cut off from the store. If followers fed others, nodes with different views could follow one
-/// another in a circle in which nobody reads the store.
+/// another in a cycle in which nobody reads the store.
 pub(crate) async fn serve(
     view: Arc<view::FleetView>,
     side: Arc<worker::WorkerSide>,
