--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -41,12 +41,6 @@
     pub(crate) format: Arc<dyn edge::EdgeFormat>,
 }
 
-/// How the wait for an answer ended.
-enum SendEnd {
-    Answered(Result<Response<body::Incoming>, connections::ExchangeError>),
-    TimeUp,
-}
-
 /// Completes with a failure when the caller of a request that was sent has left.
 async fn given_up<T>(gone: &CancellationToken) -> Result<T, RequestFailure> {
     gone.cancelled().await;
@@ -147,17 +141,13 @@
                 return Err(RequestFailure::not_run(FailureCause::CallerLeft));
             }
             let http = self.http_request(request, worker)?;
-            let exchange = async { SendEnd::Answered(connection.send(http).await) };
-            let late = async {
-                clock::sleep_until(request.deadline + WORKER_GRACE).await;
-                SendEnd::TimeUp
-            };
-            match future::or(exchange, late).await {
-                SendEnd::Answered(Ok(response)) => {
+            let end = request.deadline + WORKER_GRACE;
+            match clock::before(end, connection.send(http)).await {
+                Some(Ok(response)) => {
                     return self.answer(request, permit, connection, response).await;
                 }
-                SendEnd::Answered(Err(connections::ExchangeError::NotSent)) => {}
-                SendEnd::Answered(Err(connections::ExchangeError::Broken(reason))) => {
+                Some(Err(connections::ExchangeError::NotSent)) => {}
+                Some(Err(connections::ExchangeError::Broken(reason))) => {
                     log::warn!(
                         request:% = request.id, worker:% = worker, reason:% = reason,
                         is_reused = connection.is_reused,
@@ -168,7 +158,7 @@
                     smol::spawn(async move { side.check_listening().await }).detach();
                     return Err(RequestFailure::unknown(FailureCause::WorkerBrokeOff));
                 }
-                SendEnd::TimeUp => {
+                None => {
                     return Err(RequestFailure::unknown(FailureCause::DeadlinePassed));
                 }
             }
