Record the known revision wherever it advances

The gauge was set when items changed, not when a watch ended without any, so that a node that watches a quiet part of the store looked behind in it. FleetView::note_revision serves both places now; the figure is only read by operators, and no decision changes.

--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -12,7 +12,6 @@
 use crate::clock;
 use crate::edge;
 use crate::feed;
-use crate::meter;
 use crate::view;
 use crate::view::lock;
 
@@ -161,8 +160,7 @@
 }
 
 fn finish_batch(view: &view::FleetView, revision: u64) {
-    view.revision.fetch_max(revision, Ordering::Relaxed);
-    meter::known_revision(view.revision());
+    view.note_revision(revision);
     view.is_read.store(true, Ordering::Relaxed);
     view.refresh_pins();
     view.notify();
@@ -236,7 +234,7 @@
 ) -> Result<u64, items::ItemError> {
     let events = watch(store, view, PREFIX, revision).await?;
     if events.events.is_empty() {
-        view.revision.fetch_max(events.revision, Ordering::Relaxed);
+        view.note_revision(events.revision);
         // Nodes that follow this one may know that revision already.
         lock(&view.items).apply(&events);
     } else {
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -11,6 +11,7 @@
 use event_listener::{Event, EventListener};
 
 use crate::feed;
+use crate::meter;
 
 /// Locks a mutex; a panic elsewhere doesn't make the state unusable.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -38,7 +39,7 @@
     /// Items as they were read, to be passed on to other nodes.
     pub(crate) items: Mutex<feed::ItemLog>,
     /// Revision up to which the store has been followed.
-    pub(crate) revision: AtomicU64,
+    revision: AtomicU64,
     /// Highest version of the configuration that any node has in force.
     pub(crate) newest_version: AtomicU64,
     /// Whether the members and ranges have been read at least once.
@@ -107,6 +108,12 @@
         self.newest_version.fetch_max(version, Ordering::Relaxed);
     }
 
+    /// Notes that the store is known up to a revision.
+    pub(crate) fn note_revision(&self, revision: u64) {
+        self.revision.fetch_max(revision, Ordering::Relaxed);
+        meter::known_revision(self.revision());
+    }
+
     /// The highest revision that this node has followed.
     pub(crate) fn revision(&self) -> u64 {
         self.revision.load(Ordering::Relaxed)
