Tell how the link of a machine is used, and what refusals wait for

Cause: logs and metrics couldn't tell the hypotheses on late drawings apart. Nothing said how many bytes a node sends, what it loses, how long round trips are, or whether a request is refused because of the link or for lack of a slot. Change: the endpoint counts the bytes of its datagrams (a socket that counts), lost packets and the longest round trip. While large answers leave, wait or are refused, a line a second sets them beside the bytes of the answers. Refusals carry their reason. A connection that is closed as dead says its round trip and losses. Ruled out: a line for each answer, as it grows with the traffic. Conclusion: no decision changes.

--- a/crates/fleet/src/gate.rs
+++ b/crates/fleet/src/gate.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use cornelridge_model::time;
+use derive_more::Display;
 
 /// Service time that is assumed before any was measured.
 const FIRST_SERVICE: time::Duration = time::Duration::from_millis(100);
@@ -84,10 +85,23 @@
     Refuse(GateRefusal),
 }
 
+/// What a refused request would have waited for.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// The link of the machine.
+    #[display("link")]
+    Link,
+    /// A slot of the worker.
+    #[display("slots")]
+    Slots,
+}
+
 /// Why and for how long a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GateRefusal {
-    /// Time that it would have waited for a slot.
+    /// What it would have waited for.
+    pub reason: RefusalReason,
+    /// Time that it would have waited.
     pub wait: time::Duration,
     /// Time after which it may come again.
     pub retry_after: time::Duration,
@@ -228,7 +242,7 @@
         self.regrow(now);
         let is_free = self.running.len() < self.limit as usize;
         if self.is_stuck(now, &request) {
-            return GateDecision::Refuse(refusal(request.sending));
+            return GateDecision::Refuse(refusal(RefusalReason::Link, request.sending));
         }
         if is_free && !self.has_before(request.rank()) {
             self.start(now, key, request.route);
@@ -238,7 +252,7 @@
         let service = self.service_of(&request.route);
         let in_time = now + wait + service + request.sending <= request.limit();
         if self.queue.len() >= MAX_QUEUED || !in_time || self.is_hopeless(now + wait, &request) {
-            return GateDecision::Refuse(refusal(wait));
+            return GateDecision::Refuse(refusal(RefusalReason::Slots, wait));
         }
         self.queue.insert((request.rank(), key), request);
         GateDecision::Wait
@@ -359,7 +373,7 @@
         for key in late {
             let wait = self.wait(now, key.0);
             self.queue.remove(&key);
-            actions.push(GateAction::Refuse(key.1, refusal(wait)));
+            actions.push(GateAction::Refuse(key.1, refusal(RefusalReason::Slots, wait)));
         }
         actions.append(&mut self.pump(now));
         actions
@@ -368,8 +382,8 @@
     /// Refuses everything that waits, because the worker is gone.
     pub fn clear(&mut self) -> Vec<GateAction> {
         let queue = std::mem::take(&mut self.queue);
-        let refuse = |(_, key)| GateAction::Refuse(key, refusal(time::Duration::ZERO));
-        queue.into_keys().map(refuse).collect()
+        let refused = refusal(RefusalReason::Slots, time::Duration::ZERO);
+        queue.into_keys().map(|(_, key)| GateAction::Refuse(key, refused)).collect()
     }
 
     fn pump(&mut self, now: time::Instant) -> Vec<GateAction> {
@@ -402,6 +416,6 @@
     }
 }
 
-fn refusal(wait: time::Duration) -> GateRefusal {
-    GateRefusal { wait, retry_after: time::Duration(wait.0.max(LEAST_RETRY.0)) }
+fn refusal(reason: RefusalReason, wait: time::Duration) -> GateRefusal {
+    GateRefusal { reason, wait, retry_after: time::Duration(wait.0.max(LEAST_RETRY.0)) }
 }
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -24,6 +24,8 @@
     bytes_per_second: f64,
     /// Bytes of large answers that the other nodes haven't received yet.
     unsent: f64,
+    /// Bytes of large answers that left since the start.
+    received: u64,
     /// Mean size of the answers of each route, in bytes.
     sizes: HashMap<Arc<str>, f64>,
     /// Mean size of large answers, in bytes; 0 before the first one.
@@ -34,7 +36,7 @@
     /// An empty queue in front of a link.
     pub fn new(bytes_per_second: u64) -> LinkQueue {
         let bytes_per_second = bytes_per_second.max(1) as f64 * LARGE_SHARE;
-        LinkQueue { bytes_per_second, unsent: 0.0, sizes: HashMap::new(), large: 0.0 }
+        LinkQueue { bytes_per_second, unsent: 0.0, received: 0, sizes: HashMap::new(), large: 0.0 }
     }
 
     /// Whether answers of this size are counted.
@@ -61,6 +63,17 @@
     /// A large answer was received, or given up.
     pub fn ended(&mut self, bytes: usize) {
         self.unsent = (self.unsent - bytes as f64).max(0.0);
+        self.received += bytes as u64;
+    }
+
+    /// Bytes of large answers that left since the start, those given up included.
+    pub fn received_bytes(&self) -> u64 {
+        self.received
+    }
+
+    /// Bytes of large answers that the other nodes haven't received yet.
+    pub fn unsent_bytes(&self) -> u64 {
+        self.unsent as u64
     }
 
     fn size(&self, route: &str) -> f64 {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -28,6 +28,7 @@
 mod forward;
 mod http_server;
 mod ingress;
+mod link_watch;
 mod loads;
 mod meter;
 mod peers;
--- /dev/null
+++ b/crates/sidecar/src/link_watch.rs
@@ -0,0 +1,61 @@
+//! Figures of the link between this machine and the others, for logs and metrics.
+
+use std::sync::Arc;
+
+use cornelridge_model::time;
+use cornelridge_wire::transport;
+
+use crate::clock;
+use crate::meter;
+use crate::worker;
+
+/// Time between two looks, and so between two lines.
+const INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// Totals since the start.
+#[derive(Clone, Copy, Debug, Default)]
+struct LinkTotals {
+    answer_bytes: u64,
+    sent_bytes: u64,
+    lost_packets: u64,
+    refusals: u64,
+}
+
+/// Records the figures, with a line for each interval in which large answers left, waited or were
+/// refused.
+pub(crate) async fn watch(side: Arc<worker::WorkerSide>, endpoint: transport::NodeEndpoint) {
+    let mut before = LinkTotals::default();
+    loop {
+        clock::sleep(INTERVAL).await;
+        let counts = endpoint.counts();
+        let (answer_bytes, waiting_bytes) = side.large_bytes();
+        let totals = LinkTotals {
+            answer_bytes,
+            sent_bytes: counts.sent_bytes,
+            lost_packets: counts.lost_packets,
+            refusals: side.link_refusals(),
+        };
+        metrics::counter!(meter::LARGE_BYTES).absolute(totals.answer_bytes);
+        metrics::gauge!(meter::LARGE_WAITING).set(waiting_bytes as f64);
+        metrics::counter!(meter::PEER_SENT).absolute(totals.sent_bytes);
+        metrics::counter!(meter::PEER_LOST).absolute(totals.lost_packets);
+        let round_trip = counts.longest_round_trip;
+        metrics::gauge!(meter::PEER_ROUND_TRIP).set(round_trip.as_secs_f64());
+        let is_used = totals.answer_bytes > before.answer_bytes
+            || totals.refusals > before.refusals
+            || waiting_bytes > 0;
+        if is_used {
+            let load = side.load("");
+            log::info!(
+                answer_bytes = totals.answer_bytes - before.answer_bytes, waiting_bytes,
+                sent_bytes = totals.sent_bytes - before.sent_bytes,
+                lost_packets = totals.lost_packets.saturating_sub(before.lost_packets),
+                round_trip_us = round_trip.as_micros() as u64,
+                refused = totals.refusals - before.refusals,
+                running = load.running, queued = load.queued, slots = load.slots;
+                "link"
+            );
+        }
+        before = totals;
+    }
+}
--- a/crates/sidecar/src/meter.rs
+++ b/crates/sidecar/src/meter.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use cornelridge_fleet::gate;
 use cornelridge_model::time;
 use http::StatusCode;
 
@@ -32,6 +33,25 @@
 /// Revision of the store up to which members and ranges are known.
 pub(crate) const KNOWN_REVISION: &str = "cornelridge_known_revision";
 
+/// Requests that the worker's node refused; labels `route` and `reason`, which is `link` or `slots`.
+pub(crate) const REFUSALS: &str = "cornelridge_refusals_total";
+/// Bytes of large answers that left for other nodes.
+pub(crate) const LARGE_BYTES: &str = "cornelridge_large_answer_bytes_total";
+/// Bytes of large answers that other nodes haven't received yet.
+pub(crate) const LARGE_WAITING: &str = "cornelridge_large_answer_waiting_bytes";
+/// Bytes of all datagrams that left for other nodes.
+pub(crate) const PEER_SENT: &str = "cornelridge_peer_sent_bytes_total";
+/// Packets to other nodes that were lost.
+pub(crate) const PEER_LOST: &str = "cornelridge_peer_lost_packets_total";
+/// Longest of the present round trips to other nodes.
+pub(crate) const PEER_ROUND_TRIP: &str = "cornelridge_peer_round_trip_seconds";
+
+/// Counts a refusal of the worker's node.
+pub(crate) fn refused(route: &Arc<str>, reason: gate::RefusalReason) {
+    let reason = reason.to_string();
+    metrics::counter!(REFUSALS, "route" => Arc::clone(route), "reason" => reason).increment(1);
+}
+
 /// Counts an answer to a caller.
 pub(crate) fn answered(route: &Arc<str>, status: StatusCode, time: time::Duration) {
     let status = status.as_u16().to_string();
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -25,6 +25,7 @@
 use crate::forward;
 use crate::http_server;
 use crate::ingress;
+use crate::link_watch;
 use crate::loads;
 use crate::peers;
 use crate::planning;
@@ -196,6 +197,7 @@
         smol::spawn(session.run()).detach();
         smol::spawn(Arc::clone(side).watch_queue()).detach();
         smol::spawn(Arc::clone(side).watch_silence()).detach();
+        smol::spawn(link_watch::watch(Arc::clone(side), self.endpoint.clone())).detach();
         let desk = Arc::new(reports::ReportDesk {
             side: Arc::clone(side),
             view: Arc::clone(view),
--- a/crates/sidecar/src/worker.rs
+++ b/crates/sidecar/src/worker.rs
@@ -48,6 +48,8 @@
     tenure: Mutex<tenure::EntryTenure>,
     gate: Mutex<gate::SlotGate>,
     link: Mutex<link::LinkQueue>,
+    /// Requests that were refused because of the link.
+    link_refusals: AtomicU64,
     heat: Mutex<heat::KeyHeat>,
     waiting: Mutex<HashMap<gate::GateKey, channel::Sender<Verdict>>>,
     /// Identifiers of the requests at the worker, and how many there are of each.
@@ -98,6 +100,7 @@
             drain: settings.drain,
             desk: Mutex::new(grant::GrantDesk::new(Arc::clone(&settings.node), now)),
             link: Mutex::new(link::LinkQueue::new(settings.link_bytes_per_second)),
+            link_refusals: AtomicU64::new(0),
             tenure: Mutex::default(),
             gate: Mutex::new(gate::SlotGate::new(now)),
             heat: Mutex::new(heat::KeyHeat::new(now)),
@@ -168,6 +171,17 @@
         SendingMark { side: Arc::clone(self), bytes }
     }
 
+    /// Bytes of large answers that were received since the start, and of those on their way.
+    pub(crate) fn large_bytes(&self) -> (u64, u64) {
+        let link = lock(&self.link);
+        (link.received_bytes(), link.unsent_bytes())
+    }
+
+    /// Requests that were refused since the start because of the link.
+    pub(crate) fn link_refusals(&self) -> u64 {
+        self.link_refusals.load(Ordering::Relaxed)
+    }
+
     /// Whether the worker runs a request with this identifier.
     pub(crate) fn is_running(&self, id: &str) -> bool {
         lock(&self.running).contains_key(id)
@@ -264,6 +278,7 @@
                 let wait = async { Ok(verdict.recv().await) };
                 let wait = future::or(caller_left(gone), wait).await?;
                 wait.unwrap_or(Err(gate::GateRefusal {
+                    reason: gate::RefusalReason::Slots,
                     wait: time::Duration::ZERO,
                     retry_after: time::Duration::ZERO,
                 }))
@@ -273,8 +288,13 @@
         permit.started = clock::now();
         meter::queued(&request.service, permit.started.since(arrived));
         result.map(|()| permit).map_err(|refusal| {
+            meter::refused(&request.route, refusal.reason);
+            if refusal.reason == gate::RefusalReason::Link {
+                self.link_refusals.fetch_add(1, Ordering::Relaxed);
+            }
             log::info!(
                 request:% = request.id, wait_us = refusal.wait.0, route:% = request.route,
+                reason:% = refusal.reason,
                 key:? = request.key, target_us = request.target.since(clock::now()).0,
                 deadline_us = request.deadline.since(clock::now()).0,
                 priority = request.priority;
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -72,8 +72,18 @@
         }
     }
 
+    /// Round trips and losses.
+    pub(crate) fn path(&self) -> quinn::PathStats {
+        self.connection.stats().path
+    }
+
     pub(crate) fn close_as_dead(&self) {
-        log::info!(peer:% = self.peer; "peer stopped answering; connection closed");
+        let path = self.path();
+        log::info!(
+            peer:% = self.peer, round_trip_us = path.rtt.as_micros() as u64,
+            lost_packets = path.lost_packets, sent_packets = path.sent_packets,
+            window_bytes = path.cwnd; "peer stopped answering; connection closed"
+        );
         self.connection.close(CODE_DEAD, b"no answer");
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -34,6 +34,7 @@
 
 mod connection;
 mod peers;
+mod socket;
 mod stream;
 mod verifier;
 mod watchdog;
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -208,6 +208,13 @@
         slot.outgoing.iter().chain(&slot.incoming).for_each(|connection| connection.retire());
     }
 
+    /// Figures of the paths of all connections.
+    pub(crate) fn paths(&self) -> impl Iterator<Item = quinn::PathStats> {
+        let connections =
+            self.slots.values().flat_map(|slot| slot.outgoing.iter().chain(&slot.incoming));
+        connections.map(|connection| connection.path())
+    }
+
     /// Number of established connections.
     pub(crate) fn connections(&self) -> usize {
         let count = |slot: &PeerSlot| slot.outgoing.iter().chain(&slot.incoming).count();
--- a/crates/wire/src/transport.rs
+++ b/crates/wire/src/transport.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use futures_lite::future;
 use prost::Message;
+use quinn::Runtime;
 use smol::channel;
 use thiserror::Error;
 
@@ -18,6 +19,7 @@
 use crate::generated;
 use crate::identity;
 use crate::peers::{Direction, PeerTable, Route};
+use crate::socket;
 use crate::watchdog;
 
 pub use crate::stream::{FrameReader, FrameWriter};
@@ -102,6 +104,12 @@
     pub control_sent: u64,
     /// Bytes of control messages and document frames received since the start.
     pub control_received: u64,
+    /// Bytes of all datagrams sent since the start, repeated ones included.
+    pub sent_bytes: u64,
+    /// Packets that were lost since the start and had to be repeated.
+    pub lost_packets: u64,
+    /// Longest of the present estimates of the round-trip time.
+    pub longest_round_trip: time::Duration,
 }
 
 /// A QUIC endpoint that connects to peers and accepts their connections; cheap to clone.
@@ -125,6 +133,9 @@
     handshakes: AtomicUsize,
     dropped_datagrams: AtomicU64,
     control: Arc<ControlBytes>,
+    sent_bytes: Arc<AtomicU64>,
+    /// Packets lost on connections that are over.
+    lost_packets: AtomicU64,
 }
 
 #[derive(Debug)]
@@ -147,10 +158,12 @@
         }
         let failed = |source| TransportError::Bind { listen, source };
         let socket = net::UdpSocket::bind(listen).map_err(failed)?;
-        let endpoint = quinn::Endpoint::new(
+        let socket = quinn::SmolRuntime.wrap_udp_socket(socket).map_err(failed)?;
+        let sent_bytes = Arc::<AtomicU64>::default();
+        let endpoint = quinn::Endpoint::new_with_abstract_socket(
             quinn::EndpointConfig::default(),
             Some(server_config(&identity)),
-            socket,
+            Arc::new(socket::CountedSocket::new(socket, Arc::clone(&sent_bytes))),
             Arc::new(quinn::SmolRuntime),
         )
         .map_err(failed)?;
@@ -166,6 +179,8 @@
             handshakes: AtomicUsize::new(0),
             dropped_datagrams: AtomicU64::new(0),
             control: Arc::default(),
+            sent_bytes,
+            lost_packets: AtomicU64::new(0),
         });
         smol::spawn(accept(Arc::clone(&shared))).detach();
         smol::spawn(watchdog::watch(watched)).detach();
@@ -190,12 +205,21 @@
 
     /// Figures for metrics.
     pub fn counts(&self) -> TransportCounts {
+        let (mut lost_packets, mut longest_round_trip) =
+            (self.shared.lost_packets.load(Ordering::Relaxed), time::Duration::ZERO);
+        for path in self.shared.peers().paths() {
+            lost_packets += path.lost_packets;
+            longest_round_trip = longest_round_trip.max(path.rtt);
+        }
         TransportCounts {
             connections: self.connections(),
             handshakes: self.shared.handshakes.load(Ordering::Relaxed),
             dropped_datagrams: self.shared.dropped_datagrams.load(Ordering::Relaxed),
             control_sent: self.shared.control.sent.load(Ordering::Relaxed),
             control_received: self.shared.control.received.load(Ordering::Relaxed),
+            sent_bytes: self.shared.sent_bytes.load(Ordering::Relaxed),
+            lost_packets,
+            longest_round_trip,
         }
     }
 
@@ -339,6 +363,7 @@
         let started = time::Instant::now();
         connection.serve(&self.events, &self.dropped_datagrams).await;
         self.peers().lost(peer, &connection, started.elapsed());
+        self.lost_packets.fetch_add(connection.path().lost_packets, Ordering::Relaxed);
     }
 
     /// Completes the handshake of a connecting peer and serves it.
