--- a/crates/sidecar/tests/nodes/main.rs
+++ b/crates/sidecar/tests/nodes/main.rs
@@ -5,5 +5,6 @@
 mod endless;
 mod following;
 mod leaving;
+mod pacing;
 mod requests;
 mod standin;
--- /dev/null
+++ b/crates/sidecar/tests/nodes/pacing.rs
@@ -0,0 +1,104 @@
+//! Large answers and the link of the worker's machine, behind a relay with the rate of the link.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use crate::standin::relay::LinkRelay;
+use crate::standin::worker::{Behaviour, FILE_BYTES};
+use crate::standin::{Deployment, call_at, until};
+use futures_lite::future::block_on;
+use http::StatusCode;
+
+/// Rate of the link of the worker's machine, in bytes a second: 10 Mbit/s.
+const RATE: u64 = 1_250_000;
+/// Nodes that ask for files, and files that each of them asks for at once.
+const CALLERS: usize = 10;
+const FILES_PER_CALLER: usize = 3;
+/// Short answers have 500 ms; a queue in the link may take half of that.
+const MAX_QUEUE: u64 = RATE / 4;
+
+/// A worker with files behind a link, and nodes without such a worker.
+async fn files_behind_a_link() -> (Deployment, LinkRelay) {
+    let mut services = vec!["desk"; CALLERS];
+    services.push("files");
+    let set_rate = |settings: &mut cornelridge_sidecar::settings::SidecarSettings| {
+        settings.link_bytes_per_second = RATE;
+    };
+    let deployment = Deployment::start_with(Arc::default(), &services, set_rate).await;
+    let node = deployment.hosts[CALLERS].node.addresses.peers;
+    let relay = LinkRelay::start(node, RATE).await;
+    deployment.store.redirect(node, relay.address);
+    deployment.configure(1);
+    deployment.settle("/stock/x", None).await;
+    // Until a file was sent, its size isn't known.
+    deployment.settle("/file/x", None).await;
+    (deployment, relay)
+}
+
+/// Asks for files at all nodes at once; counts those that are there.
+async fn ask_for_files(deployment: &Deployment, received: &Arc<AtomicUsize>) {
+    let worker = &deployment.hosts[CALLERS].worker;
+    worker.behave(Behaviour::Hold);
+    for (index, host) in deployment.hosts[..CALLERS].iter().enumerate() {
+        for file in 0..FILES_PER_CALLER {
+            let (address, received) = (host.node.addresses.callers, Arc::clone(received));
+            smol::spawn(async move {
+                let answer =
+                    call_at(address, format!("file-{index}-{file}"), "/file/x", None).await;
+                assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+                assert_eq!(answer.body.len(), FILE_BYTES);
+                received.fetch_add(1, Ordering::SeqCst);
+            })
+            .detach();
+        }
+    }
+    // All slots are taken: the others follow when the first ones are answered.
+    until("all slots are taken", || async {
+        let files = (0..CALLERS).flat_map(|index| (0..FILES_PER_CALLER).map(move |f| (index, f)));
+        files.filter(|(index, file)| worker.runs(&format!("file-{index}-{file}")) > 0).count() == 8
+    })
+    .await;
+    smol::Timer::after(Duration::from_millis(200)).await;
+    worker.release();
+}
+
+/// Guards against answers to many nodes that fill the queue of the link at once, so that all of
+/// them are late and everything else waits behind them.
+#[test]
+fn large_answers_to_many_nodes_do_not_fill_the_link() {
+    block_on(async {
+        let (deployment, relay) = files_behind_a_link().await;
+        let received = Arc::new(AtomicUsize::new(0));
+        ask_for_files(&deployment, &received).await;
+        until("all files are there", || async {
+            received.load(Ordering::SeqCst) == CALLERS * FILES_PER_CALLER
+        })
+        .await;
+        let longest = relay.longest_queue();
+        assert!(longest <= MAX_QUEUE, "{longest} bytes waited in the link, {MAX_QUEUE} may");
+    });
+}
+
+/// Guards against short answers that wait for large ones to other nodes.
+#[test]
+fn short_answers_pass_large_ones_that_wait_for_the_link() {
+    block_on(async {
+        let (deployment, _relay) = files_behind_a_link().await;
+        let received = Arc::new(AtomicUsize::new(0));
+        ask_for_files(&deployment, &received).await;
+        until("the first file is there", || async { received.load(Ordering::SeqCst) > 0 }).await;
+        let mut passed = Vec::new();
+        for round in 0..3 {
+            let before = received.load(Ordering::SeqCst);
+            for caller in 0..CALLERS {
+                let id = format!("stock-{round}-{caller}");
+                let answer = deployment.call(caller, &id, "/stock/x", None).await;
+                assert_eq!(answer.status, StatusCode::OK);
+            }
+            passed.push(received.load(Ordering::SeqCst) - before);
+        }
+        // Ten in a row take as long as a few files at most.
+        assert!(passed.iter().all(|count| *count <= CALLERS / 2), "{passed:?}");
+    });
+}
--- a/crates/sidecar/tests/nodes/standin/mod.rs
+++ b/crates/sidecar/tests/nodes/standin/mod.rs
@@ -1,5 +1,6 @@
 //! A deployment in one process: a store in memory, workers on loopback, real nodes.
 
+pub(crate) mod relay;
 pub(crate) mod store;
 pub(crate) mod worker;
 
@@ -18,6 +19,8 @@
 use serde::{Deserialize, Serialize};
 use smol_hyper::rt::FuturesIo;
 
+/// Rate of the link of a machine, in bytes a second, if a test doesn't name one.
+const LINK_RATE: u64 = 125_000_000;
 /// Longest wait for an event; far above what any of them takes.
 const LIMIT: StdDuration = StdDuration::from_secs(60);
 
@@ -143,7 +146,7 @@
     config::ServiceConfig { name: Arc::from(name), max_connections: 100, division }
 }
 
-/// A service `desk` for any worker and a service `prices` divided by key.
+/// Services `desk` and `files` for any worker and a service `prices` divided by key.
 fn fleet_config() -> config::FleetConfig {
     config::FleetConfig {
         version: 1,
@@ -155,9 +158,20 @@
                 target: Duration::from_millis(300),
                 ..route("quick", "/quick/", "desk", config::RepeatRule::Idempotent)
             },
+            config::RouteConfig {
+                is_bulk: true,
+                ..route("file", "/file/", "files", config::RepeatRule::Idempotent)
+            },
+            config::RouteConfig {
+                is_bulk: true,
+                target: Duration::from_secs(2),
+                ..route("urgent", "/file/urgent/", "files", config::RepeatRule::Idempotent)
+            },
+            route("stock", "/stock/", "files", config::RepeatRule::Idempotent),
         ],
         services: vec![
             service("desk", KeyDivision::AnyWorker),
+            service("files", KeyDivision::AnyWorker),
             service("prices", KeyDivision::ByKey),
         ],
         limits: config::CallerLimits {
@@ -197,6 +211,15 @@
 
     /// The same with a store that was prepared.
     pub(crate) async fn start_at(store: Arc<store::MemoryStore>, services: &[&str]) -> Deployment {
+        Deployment::start_with(store, services, |_| {}).await
+    }
+
+    /// The same with settings that were adjusted.
+    pub(crate) async fn start_with(
+        store: Arc<store::MemoryStore>,
+        services: &[&str],
+        adjust: impl Fn(&mut settings::SidecarSettings),
+    ) -> Deployment {
         let format = Arc::new(StandInFormat {
             headers: edge::HeaderNames {
                 request_id: HeaderName::from_static("x-request"),
@@ -212,7 +235,7 @@
         for (index, service) in services.iter().enumerate() {
             let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
             let worker = worker::StandInWorker::start(&format!("w{index}"), service).await;
-            let settings = settings::SidecarSettings {
+            let mut settings = settings::SidecarSettings {
                 node: format!("node-{index}").into(),
                 zone: Arc::from("zone"),
                 service: Arc::from(*service),
@@ -222,7 +245,7 @@
                 readiness: any,
                 reports: any,
                 metrics: None,
-                link_bytes_per_second: 125_000_000,
+                link_bytes_per_second: LINK_RATE,
                 longest_hold: Duration::from_secs(10),
                 grace: Duration::from_secs(20),
                 drain: Duration::from_secs(2),
@@ -232,6 +255,7 @@
                     slack: 1_000.0,
                 },
             };
+            adjust(&mut settings);
             let edge = edge::NodeEdge {
                 store: Arc::clone(&store) as _,
                 format: Arc::clone(&format) as _,
--- a/crates/sidecar/tests/nodes/standin/store.rs
+++ b/crates/sidecar/tests/nodes/standin/store.rs
@@ -1,6 +1,7 @@
 //! A store in memory with leases, watches and faults.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -26,6 +27,8 @@
     lost_commits: u32,
     /// Lists that still fail.
     failed_lists: u32,
+    /// Addresses of nodes that are replaced in what nodes write.
+    redirects: Vec<(SocketAddr, SocketAddr)>,
 }
 
 /// A store in memory.
@@ -73,6 +76,7 @@
     }
 
     fn write(&mut self, key: &str, value: Bytes, lease: LeaseNumber) {
+        let value = self.redirects.iter().fold(value, redirect);
         let key: Arc<str> = Arc::from(key);
         let item = StoredItem { key: Arc::clone(&key), value, revision: self.revision, lease };
         self.items.insert(key, item.clone());
@@ -80,7 +84,33 @@
     }
 }
 
+/// Replaces an address in the entry of a node.
+fn redirect(value: Bytes, (from, to): &(SocketAddr, SocketAddr)) -> Bytes {
+    let quoted = |address: &SocketAddr| format!("\"{address}\"");
+    match std::str::from_utf8(&value) {
+        Ok(text) => text.replace(&quoted(from), &quoted(to)).into(),
+        Err(_) => value,
+    }
+}
+
 impl MemoryStore {
+    /// Lets nodes reach the node at `from` at `to`.
+    pub(crate) fn redirect(&self, from: SocketAddr, to: SocketAddr) {
+        let mut state = self.state.lock().unwrap();
+        state.redirects.push((from, to));
+        state.revision += 1;
+        let items: Vec<StoredItem> = state.items.values().cloned().collect();
+        let address = format!("\"{from}\"");
+        let is_affected = |item: &&StoredItem| {
+            std::str::from_utf8(&item.value).is_ok_and(|text| text.contains(&address))
+        };
+        for item in items.iter().filter(is_affected) {
+            state.write(&item.key, item.value.clone(), item.lease);
+        }
+        drop(state);
+        self.changed.notify(usize::MAX);
+    }
+
     /// Writes an item as an operator does.
     pub(crate) fn put(&self, key: &str, value: &str) {
         let mut state = self.state.lock().unwrap();
--- a/crates/sidecar/tests/nodes/standin/worker.rs
+++ b/crates/sidecar/tests/nodes/standin/worker.rs
@@ -24,6 +24,9 @@
 /// A piece of an answer without end.
 const FLOOD: Bytes = Bytes::from_static(&[b'.'; 64 * 1024]);
 
+/// Size of the answers to requests for files.
+pub(crate) const FILE_BYTES: usize = 90_000;
+
 type WorkerBody = UnsyncBoxBody<Bytes, Infallible>;
 
 /// How the worker treats the requests that it gets.
@@ -228,7 +231,7 @@
         let released = self.state.released.listen();
         *self.state.runs.lock().unwrap().entry(id.clone()).or_default() += 1;
         match behaviour {
-            Behaviour::Answer | Behaviour::Shed => Ok(answer(StatusCode::OK, &id, false)),
+            Behaviour::Answer | Behaviour::Shed => Ok(whole(&request, &id)),
             // Connections from before begin anew and are then flooded.
             Behaviour::Reset | Behaviour::FloodHead | Behaviour::FloodInterim => Err("reset"),
             Behaviour::Mistake => Ok(answer(StatusCode::OK, "another", false)),
@@ -237,7 +240,7 @@
                 let mut mark = AbortMark { worker: self.clone(), id: Some(id.clone()) };
                 released.await;
                 mark.id = None;
-                Ok(answer(StatusCode::OK, &id, false))
+                Ok(whole(&request, &id))
             }
             Behaviour::Trickle => Ok(self.endless(&id, Bytes::from_static(b"."), TRICKLE_PAUSE)),
             Behaviour::FloodBody => Ok(self.endless(&id, FLOOD, Duration::ZERO)),
@@ -295,6 +298,16 @@
     }
 }
 
+/// The answer to a request that was run: a file, or a short text.
+fn whole(request: &Request<Incoming>, id: &str) -> Response<WorkerBody> {
+    let mut response = answer(StatusCode::OK, id, false);
+    if request.uri().path().starts_with("/file/") {
+        let file = Full::new(Bytes::from(vec![b'.'; FILE_BYTES]));
+        *response.body_mut() = file.boxed_unsync();
+    }
+    response
+}
+
 fn answer(status: StatusCode, id: &str, is_refusal: bool) -> Response<WorkerBody> {
     let body = Full::new(Bytes::from(format!("answer to {id}")));
     let mut response = Response::new(body.boxed_unsync());
