Let large answers leave a machine in one queue, at the rate of its link

Cause: each of a node's 87 connections has a congestion window of its own and up to 4 MB without acknowledgement, so that answers to many nodes fill the queue of the link at once. A quarter to a third of what the machines with drawings sent was lost there and sent again (2,000 to 3,500 packets a second on eleven machines), all answers became late together, and short answers, acknowledgements and heartbeats waited behind them. In the same seconds requests were refused because of the link while slots were free. Ruled out: the choice of the worker alone (all eleven links are full in the same seconds); slots (1 to 12 of 12 run); processor time (the same with --no-cpu). Change: all large answers that leave a machine, to nodes and to callers, are let out piece by piece at 0.9 of the link, those first that are due first, late ones behind those in time (fleet::link, without clock or socket). Short answers don't wait; what else was sent, repeats included, is taken off the budget by the bytes that the sockets count. A connection has no more unacknowledged data than the link carries in 50 ms, so that a queue stays in the node.

--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -1,4 +1,8 @@
-//! Time that large answers wait for the link of the machine.
+//! Shares the link of a machine between the answers that leave it.
+//!
+//! Large answers leave piece by piece at a rate just under that of the link, those first that are
+//! due first. What else leaves the machine doesn't wait, and uses up its part of the rate. So
+//! answers wait here, in an order, and not in the queue of the link, where all traffic waits.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -7,25 +11,87 @@
 
 /// Weight of one answer in the mean size of a route's answers.
 const SIZE_WEIGHT: f64 = 0.1;
-/// Size up to which answers don't wait for others, in bytes: the streams of a connection share the
-/// link, so that a short one ends before the long ones.
+/// Size up to which answers don't wait for others, in bytes: a few packets.
 const SMALL_BYTES: f64 = 16.0 * 1024.0;
-/// Links that an answer passes as a whole: out of this machine, and out of that of the caller's
-/// node, which is taken to have a link of the same rate.
-const LINKS: f64 = 2.0;
-/// Part of a link that large answers get, as measured on links of 10 and 13 Mbit/s; the rest goes to
-/// headers, acknowledgements, repeated packets, short answers and calls.
-const LARGE_SHARE: f64 = 0.5;
-
-/// Large answers on their way to other nodes.
+/// Most bytes of an answer that leave at once on a slow link; short answers wait for one piece at
+/// most, 13 ms on a link of 10 Mbit/s.
+pub const LEAST_PIECE_BYTES: usize = 16 * 1024;
+/// Time in which a faster link carries a piece.
+const PIECE_TERM: time::Duration = time::Duration::from_millis(13);
+/// Links that an answer to another node passes: out of this machine, and out of that one.
+const FAR_LINKS: f64 = 2.0;
+/// Part of the link that is used. The headers of UDP and IP, which aren't counted, take 2 to 3 in
+/// 100; the rest lets the queue of the link become empty again.
+const LINK_SHARE: f64 = 0.9;
+/// Time in which the rate of other traffic is averaged.
+const OTHER_TERM: time::Duration = time::Duration::from_secs(1);
+/// Part of the link that large answers can count on whatever else is sent.
+const LEAST_SHARE: f64 = 0.3;
+/// Unused time of the link that may be made up for: about the lateness of timers.
+const BURST: time::Duration = time::Duration::from_millis(5);
+/// Longest time for which other traffic may hold up large answers.
+const LONGEST_PAUSE: time::Duration = time::Duration::from_millis(200);
+/// Time in which answers that were let out but never sent, because they were given up, are
+/// forgotten.
+const UNSENT_TERM: time::Duration = time::Duration::from_secs(5);
+
+/// Number of a large answer that leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AnswerKey(pub u64);
+
+/// A large answer that is ready.
+#[derive(Clone, Copy, Debug)]
+pub struct LargeAnswer {
+    /// Its size.
+    pub bytes: usize,
+    /// When it is worth less.
+    pub target: time::Instant,
+    /// When it is worth nothing.
+    pub deadline: time::Instant,
+}
+
+/// What the link does next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkStep {
+    /// The next piece of this answer may leave.
+    Send(AnswerKey),
+    /// Nothing may leave before this time.
+    Wait(time::Instant),
+    /// No answer has a piece that waits.
+    Idle,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LeavingAnswer {
+    answer: LargeAnswer,
+    /// Bytes that haven't left yet.
+    left: usize,
+    /// Bytes of the piece that waits; 0 if none does.
+    waiting: usize,
+}
+
+/// Bytes that the machine sent, and how many of them were large answers.
+#[derive(Clone, Copy, Debug, Default)]
+struct SentBytes {
+    /// Bytes of large answers that were let out.
+    released: u64,
+    /// Bytes of other traffic that were counted: what was sent beyond what was let out.
+    other: f64,
+    /// Rate of other traffic.
+    other_per_second: f64,
+}
+
+/// Large answers that leave the machine.
 #[derive(Clone, Debug)]
 pub struct LinkQueue {
-    /// Rate at which large answers leave.
+    /// Rate that is used.
     bytes_per_second: f64,
-    /// Bytes of large answers that the other nodes haven't received yet.
-    unsent: f64,
-    /// Bytes of large answers that left since the start.
-    received: u64,
+    /// Bytes that may leave now; below zero while what has left is more than the rate allows.
+    credit: f64,
+    /// When the credit was worked out.
+    updated: time::Instant,
+    sent: SentBytes,
+    answers: HashMap<AnswerKey, LeavingAnswer>,
     /// Mean size of the answers of each route, in bytes.
     sizes: HashMap<Arc<str>, f64>,
     /// Mean size of large answers, in bytes; 0 before the first one.
@@ -34,12 +100,19 @@
 
 impl LinkQueue {
     /// An empty queue in front of a link.
-    pub fn new(bytes_per_second: u64) -> LinkQueue {
-        let bytes_per_second = bytes_per_second.max(1) as f64 * LARGE_SHARE;
-        LinkQueue { bytes_per_second, unsent: 0.0, received: 0, sizes: HashMap::new(), large: 0.0 }
+    pub fn new(now: time::Instant, bytes_per_second: u64) -> LinkQueue {
+        LinkQueue {
+            bytes_per_second: bytes_per_second.max(1) as f64 * LINK_SHARE,
+            credit: 0.0,
+            updated: now,
+            sent: SentBytes::default(),
+            answers: HashMap::new(),
+            sizes: HashMap::new(),
+            large: 0.0,
+        }
     }
 
-    /// Whether answers of this size are counted.
+    /// Whether answers of this size wait for their turn.
     pub fn is_large(bytes: usize) -> bool {
         bytes as f64 > SMALL_BYTES
     }
@@ -55,25 +128,89 @@
         }
     }
 
-    /// A large answer begins to leave.
-    pub fn started(&mut self, bytes: usize) {
-        self.unsent += bytes as f64;
+    /// A large answer is ready to leave; its pieces wait when `want` says so.
+    pub fn start(&mut self, key: AnswerKey, answer: LargeAnswer) {
+        let leaving = LeavingAnswer { answer, left: answer.bytes, waiting: 0 };
+        self.answers.insert(key, leaving);
+    }
+
+    /// The next piece of an answer, of so many bytes, waits for its turn.
+    pub fn want(&mut self, key: AnswerKey, bytes: usize) {
+        if let Some(leaving) = self.answers.get_mut(&key) {
+            leaving.waiting = bytes;
+        }
+    }
+
+    /// Most bytes of an answer that leave at once.
+    pub fn piece_bytes(&self) -> usize {
+        let bytes = self.bytes_per_second * PIECE_TERM.as_secs_f64();
+        LEAST_PIECE_BYTES.max(bytes as usize)
     }
 
-    /// A large answer was received, or given up.
-    pub fn ended(&mut self, bytes: usize) {
-        self.unsent = (self.unsent - bytes as f64).max(0.0);
-        self.received += bytes as u64;
+    /// An answer has left, or was given up.
+    pub fn end(&mut self, key: AnswerKey) {
+        self.answers.remove(&key);
+    }
+
+    /// Decides what leaves next; `sent` is what the machine has sent to other nodes and to callers
+    /// since the start, in bytes. With `Send`, the piece counts as sent.
+    pub fn step(&mut self, now: time::Instant, sent: u64) -> LinkStep {
+        self.update(now, sent);
+        let waiting = self.answers.iter().filter(|(_, leaving)| leaving.waiting > 0);
+        let next = waiting.min_by_key(|(key, leaving)| (self.due(now, leaving), **key));
+        let Some((key, _)) = next else { return LinkStep::Idle };
+        let key = *key;
+        if self.credit < 0.0 {
+            let wait = -self.credit / self.bytes_per_second * 1e6;
+            return LinkStep::Wait(now + time::Duration(wait as u64 + 1));
+        }
+        if let Some(leaving) = self.answers.get_mut(&key) {
+            let bytes = std::mem::take(&mut leaving.waiting);
+            // Of an answer that is still arriving, only the beginning is known.
+            leaving.left = leaving.left.saturating_sub(bytes);
+            self.credit -= bytes as f64;
+            self.sent.released += bytes as u64;
+        }
+        LinkStep::Send(key)
+    }
+
+    /// Until when an answer should have left: its target, or its deadline if it is late anyway, so
+    /// that it doesn't make others late.
+    fn due(&self, now: time::Instant, leaving: &LeavingAnswer) -> time::Instant {
+        let time = time::Duration((leaving.left as f64 / self.bytes_per_second * 1e6) as u64);
+        match now + time <= leaving.answer.target {
+            true => leaving.answer.target,
+            false => leaving.answer.deadline,
+        }
+    }
+
+    /// Adds what the link could carry since the last time, and takes off what else was sent.
+    fn update(&mut self, now: time::Instant, sent: u64) {
+        let time = now.since(self.updated).as_secs_f64();
+        if time == 0.0 {
+            return;
+        }
+        self.updated = now;
+        let beyond = sent as f64 - self.sent.released as f64;
+        // What was let out is sent a little later, so that only a new maximum is other traffic.
+        let other = (beyond - self.sent.other).max(0.0);
+        let unsent = (self.sent.other - beyond).max(0.0);
+        self.sent.other += other - unsent * (time / UNSENT_TERM.as_secs_f64()).min(1.0);
+        let weight = (time / OTHER_TERM.as_secs_f64()).min(1.0);
+        self.sent.other_per_second += (other / time - self.sent.other_per_second) * weight;
+        let rate = self.bytes_per_second;
+        let (least, most) = (-rate * LONGEST_PAUSE.as_secs_f64(), rate * BURST.as_secs_f64());
+        self.credit = (self.credit + time * rate - other).clamp(least, most);
     }
 
-    /// Bytes of large answers that left since the start, those given up included.
-    pub fn received_bytes(&self) -> u64 {
-        self.received
+    /// Bytes of large answers that haven't left yet.
+    pub fn waiting_bytes(&self) -> u64 {
+        self.answers.values().map(|leaving| leaving.left as u64).sum()
     }
 
-    /// Bytes of large answers that the other nodes haven't received yet.
-    pub fn unsent_bytes(&self) -> u64 {
-        self.unsent as u64
+    /// Bytes of large answers that were let out since the start.
+    pub fn released_bytes(&self) -> u64 {
+        self.sent.released
     }
 
     fn size(&self, route: &str) -> f64 {
@@ -86,38 +223,42 @@
     }
 
     /// Time that an answer of `route` will take to reach its caller if it is ready after `ready`,
-    /// behind the answers of the requests `before` it.
+    /// behind the answers of the requests `before` it. It passes so many links as a whole: out of
+    /// this machine, and out of that of the caller's node if that is another one, whose link is
+    /// taken to have the same rate.
     pub fn delay<'a>(
         &self,
         route: &str,
+        links: u8,
         before: impl Iterator<Item = &'a Arc<str>>,
         ready: time::Duration,
     ) -> time::Duration {
         match self.expects_large(route) {
-            true => self.time_of(self.size(route), before, ready),
+            true => self.time_of(self.size(route) * f64::from(links), before, ready),
             false => time::Duration::ZERO,
         }
     }
 
-    /// The same for a large answer of any route.
+    /// The same for a large answer of any route to another node.
     pub fn large_delay<'a>(
         &self,
         before: impl Iterator<Item = &'a Arc<str>>,
         ready: time::Duration,
     ) -> time::Duration {
-        self.time_of(self.large, before, ready)
+        self.time_of(self.large * FAR_LINKS, before, ready)
     }
 
     fn time_of<'a>(
         &self,
-        size: f64,
+        bytes: f64,
         before: impl Iterator<Item = &'a Arc<str>>,
         ready: time::Duration,
     ) -> time::Duration {
+        let least = self.bytes_per_second * LEAST_SHARE;
+        let rate = (self.bytes_per_second - self.sent.other_per_second).max(least);
         let large = before.filter(|route| self.expects_large(route));
         let coming: f64 = large.map(|route| self.size(route)).sum();
-        let sent = self.bytes_per_second * ready.as_secs_f64();
-        let left = (self.unsent + coming - sent).max(0.0);
-        time::Duration(((left + size * LINKS) / self.bytes_per_second * 1e6) as u64)
+        let left = self.waiting_bytes() as f64 + coming - rate * ready.as_secs_f64();
+        time::Duration(((left.max(0.0) + bytes) / rate * 1e6) as u64)
     }
 }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -99,7 +99,7 @@
         let task = smol::spawn(async move { handle(&context, peer, request).await });
         async move { Ok::<_, convert::Infallible>(task.await) }
     });
-    let (stream, watch) = watched::watch(stream);
+    let (stream, watch) = watched::watch(stream, Arc::default());
     let connection = builder.serve_connection(FuturesIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let is_closing = async {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -121,10 +121,10 @@
             listen("announce-address", settings.announce_address).await?;
         let (overseers, operator_address) =
             listen("operator-address", settings.operator_address).await?;
-        let endpoint = transport::NodeEndpoint::bind(transport::EndpointSettings {
-            listen: settings.peer_address,
+        let endpoint = transport::NodeEndpoint::bind(transport::EndpointSettings::new(
+            settings.peer_address,
             identity,
-        })?;
+        ))?;
         let peer_address = endpoint.local_address();
         let store = client::StoreClient::new(client::StoreSettings::new(settings.store_address));
         let stop = CancellationToken::new();
--- a/crates/sidecar/src/answer.rs
+++ b/crates/sidecar/src/answer.rs
@@ -102,6 +102,15 @@
         self.ready
     }
 
+    /// The next piece of at most so many bytes; `None` at the complete end only.
+    pub(crate) async fn next_piece(&mut self, bytes: usize) -> Result<Option<Bytes>, AnswerCut> {
+        let mut data = self.next().await?;
+        if let Some(data) = data.as_mut().filter(|data| data.len() > bytes) {
+            self.ready = data.split_off(bytes);
+        }
+        Ok(data)
+    }
+
     /// The next piece; `None` at the complete end only.
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, AnswerCut> {
         if !self.ready.is_empty() {
--- a/crates/sidecar/src/http_server.rs
+++ b/crates/sidecar/src/http_server.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::net;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 
 use bytes::Bytes;
 use cornelridge_model::time;
@@ -14,7 +15,7 @@
 use hyper::body;
 use hyper::server::conn::http1;
 use hyper::service;
-use smol::net::{TcpListener, TcpStream};
+use smol::net::TcpListener;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use tokio_util::sync::CancellationToken;
 
@@ -51,11 +52,13 @@
 }
 
 /// Accepts connections until `stop` is cancelled. After `closing` each one ends with its answer.
+/// `sent` counts the bytes that leave.
 pub(crate) async fn serve<H, F>(
     listener: TcpListener,
     limits: impl Fn() -> ServerLimits,
     closing: CancellationToken,
     stop: CancellationToken,
+    sent: Arc<AtomicU64>,
     handler: H,
 ) where
     H: Fn(net::SocketAddr, Request<body::Incoming>) -> F + Send + Sync + 'static,
@@ -77,13 +80,18 @@
                 continue;
             }
         };
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!(error:% = error; "connection lost at once");
+            continue;
+        }
+        let watched = watched::watch(stream, Arc::clone(&sent));
         let handler = Arc::clone(&handler);
-        smol::spawn(serve_connection(stream, peer, limits(), closing.clone(), handler)).detach();
+        smol::spawn(serve_connection(watched, peer, limits(), closing.clone(), handler)).detach();
     }
 }
 
 async fn serve_connection<H, F>(
-    stream: TcpStream,
+    (stream, watch): (watched::WatchedStream, watched::CloseWatch),
     peer: net::SocketAddr,
     limits: ServerLimits,
     closing: CancellationToken,
@@ -92,10 +100,6 @@
     H: Fn(net::SocketAddr, Request<body::Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<ServerBody>> + Send + 'static,
 {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!(error:% = error; "connection lost at once");
-        return;
-    }
     let service = service::service_fn(move |request| {
         // A task of its own: `hyper` reads from the socket whenever its connection is polled, which
         // must not happen at each step of a request. Dropping the task breaks the request off.
@@ -108,7 +112,6 @@
         .header_read_timeout(limits.idle_timeout.to_std())
         .max_buf_size(limits.header_bytes.max(LEAST_BUFFER_BYTES))
         .keep_alive(!closing.is_cancelled());
-    let (stream, watch) = watched::watch(stream);
     let connection = builder.serve_connection(FuturesIo::new(stream), service);
     let served = run_connection(connection, peer, closing);
     let left = async {
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use cornelridge_fleet::config;
+use cornelridge_fleet::link;
 use cornelridge_model::time;
 use cornelridge_wire::headers;
 use futures_lite::stream;
@@ -21,6 +22,7 @@
 use crate::http_server;
 use crate::meter;
 use crate::request;
+use crate::sending;
 use crate::view;
 
 /// Time after which a request that wasn't run may come again, if nothing better is known.
@@ -35,6 +37,7 @@
     pub(crate) forwarder: Arc<forward::RequestForwarder>,
     pub(crate) format: Arc<dyn edge::EdgeFormat>,
     pub(crate) flights: flight::FlightCounter,
+    pub(crate) link: Arc<sending::AnswerLink>,
 }
 
 impl CallerIngress {
@@ -47,10 +50,10 @@
         let flight = self.flights.enter();
         let id: Arc<str> = text(http.headers(), &self.format.headers().request_id).into();
         let mut note = LeaveNote { request: id, route: Arc::from(""), arrived, is_over: false };
-        let mut target = time::Instant(u64::MAX);
+        let (mut target, mut deadline) = (time::Instant(u64::MAX), time::Instant(u64::MAX));
         let result = match self.accept(arrived, http, &mut note.route).await {
             Ok((request, max_attempts)) => {
-                target = request.target;
+                (target, deadline) = (request.target, request.deadline);
                 self.forward(&request, max_attempts).await
             }
             Err(failure) => Err(failure),
@@ -76,6 +79,7 @@
                         slots = answer.load.slots; "answer late"
                     );
                 }
+                let answer = self.pace(answer, route, target, deadline);
                 respond(answer, flight)
             }
             Err(failure) => {
@@ -102,6 +106,19 @@
         clock::before(request.deadline + ANSWER_GRACE, forwarded).await.unwrap_or_else(late)
     }
 
+    /// Lets a large answer leave for its caller as the link has room.
+    fn pace(
+        &self,
+        answer: answer::WorkerAnswer,
+        route: &Arc<str>,
+        target: time::Instant,
+        deadline: time::Instant,
+    ) -> PacedAnswer {
+        let bytes = answer.body.ready_bytes();
+        let sending = self.link.start(route, link::LargeAnswer { bytes, target, deadline });
+        PacedAnswer { answer, sending }
+    }
+
     /// Finds the route of a request and reads its body.
     async fn accept(
         &self,
@@ -163,6 +180,12 @@
     }
 }
 
+/// An answer on its way to a caller.
+struct PacedAnswer {
+    answer: answer::WorkerAnswer,
+    sending: sending::SendingAnswer,
+}
+
 /// Notes that the caller left when it is dropped before its request has an answer.
 struct LeaveNote {
     request: Arc<str>,
@@ -220,14 +243,12 @@
     headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
 }
 
-fn respond(
-    answer: answer::WorkerAnswer,
-    flight: flight::FlightGuard,
-) -> Response<http_server::ServerBody> {
+fn respond(paced: PacedAnswer, flight: flight::FlightGuard) -> Response<http_server::ServerBody> {
+    let PacedAnswer { answer, sending } = paced;
     let answer::WorkerAnswer { status, headers, body, .. } = answer;
-    let body = match body.is_whole() {
+    let body = match body.is_whole() && !sending.is_large() {
         true => http_server::whole(body.into_whole()),
-        false => arriving(body, flight),
+        false => arriving(body, sending, flight),
     };
     let mut response = Response::new(body);
     *response.status_mut() = status;
@@ -235,12 +256,19 @@
     response
 }
 
-/// Passes a body on as it arrives; an error ends the message visibly.
-fn arriving(body: answer::AnswerBody, flight: flight::FlightGuard) -> http_server::ServerBody {
-    let frames = stream::unfold(Some((body, flight)), |state| async {
-        let (mut body, flight) = state?;
-        match body.next().await {
-            Ok(Some(data)) => Some((Ok(body::Frame::data(data)), Some((body, flight)))),
+/// Passes a body on piece by piece; an error ends the message visibly.
+fn arriving(
+    body: answer::AnswerBody,
+    sending: sending::SendingAnswer,
+    flight: flight::FlightGuard,
+) -> http_server::ServerBody {
+    let frames = stream::unfold(Some((body, sending, flight)), |state| async {
+        let (mut body, mut sending, flight) = state?;
+        match body.next_piece(sending.piece_bytes()).await {
+            Ok(Some(data)) => {
+                sending.turn(data.len()).await;
+                Some((Ok(body::Frame::data(data)), Some((body, sending, flight))))
+            }
             Ok(None) => None,
             Err(error) => {
                 log::info!(error:% = error; "answer to a caller broke off");
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -34,6 +34,7 @@
 mod peers;
 mod planning;
 mod reports;
+mod sending;
 mod session;
 mod view;
 mod worker;
--- a/crates/sidecar/src/link_watch.rs
+++ b/crates/sidecar/src/link_watch.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use cornelridge_fleet::link;
 use cornelridge_model::time;
 use cornelridge_wire::transport;
 
@@ -28,7 +29,8 @@
     loop {
         clock::sleep(INTERVAL).await;
         let counts = endpoint.counts();
-        let (answer_bytes, waiting_bytes) = side.large_bytes();
+        let bytes = |link: &link::LinkQueue| (link.released_bytes(), link.waiting_bytes());
+        let (answer_bytes, waiting_bytes) = side.link.with_queue(bytes);
         let totals = LinkTotals {
             answer_bytes,
             sent_bytes: counts.sent_bytes,
--- a/crates/sidecar/src/meter.rs
+++ b/crates/sidecar/src/meter.rs
@@ -35,9 +35,9 @@
 
 /// Requests that the worker's node refused; labels `route` and `reason`, which is `link` or `slots`.
 pub(crate) const REFUSALS: &str = "cornelridge_refusals_total";
-/// Bytes of large answers that left for other nodes.
+/// Bytes of large answers that left for other nodes and for callers.
 pub(crate) const LARGE_BYTES: &str = "cornelridge_large_answer_bytes_total";
-/// Bytes of large answers that other nodes haven't received yet.
+/// Bytes of large answers that wait for the link.
 pub(crate) const LARGE_WAITING: &str = "cornelridge_large_answer_waiting_bytes";
 /// Bytes of all datagrams that left for other nodes.
 pub(crate) const PEER_SENT: &str = "cornelridge_peer_sent_bytes_total";
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -30,6 +30,7 @@
 use crate::peers;
 use crate::planning;
 use crate::reports;
+use crate::sending;
 use crate::session;
 use crate::settings;
 use crate::view;
@@ -123,8 +124,8 @@
         let view = Arc::new(view::FleetView::default());
         let (identity, pin) = identity::TlsIdentity::pinned(&settings.node, view.pins.clone())?;
         let endpoint = transport::NodeEndpoint::bind(transport::EndpointSettings {
-            listen: settings.peers,
-            identity,
+            unacknowledged_bytes: sending::unacknowledged_bytes(settings.link_bytes_per_second),
+            ..transport::EndpointSettings::new(settings.peers, identity)
         })?;
         let bound =
             |listener: &TcpListener, configured| listener.local_addr().unwrap_or(configured);
@@ -136,7 +137,8 @@
         };
         let mut random = fastrand::Rng::new();
         let node = Arc::clone(&settings.node);
-        let side = worker::WorkerSide::new(&settings);
+        let link = sending::AnswerLink::new(settings.link_bytes_per_second, endpoint.clone());
+        let side = worker::WorkerSide::new(&settings, link);
         let side = Arc::new(side);
         let started = SidecarNode {
             view: Arc::clone(&view),
@@ -198,6 +200,7 @@
         smol::spawn(Arc::clone(side).watch_queue()).detach();
         smol::spawn(Arc::clone(side).watch_silence()).detach();
         smol::spawn(link_watch::watch(Arc::clone(side), self.endpoint.clone())).detach();
+        smol::spawn(Arc::clone(&side.link).run()).detach();
         let desk = Arc::new(reports::ReportDesk {
             side: Arc::clone(side),
             view: Arc::clone(view),
@@ -220,6 +223,7 @@
             || SERVICE_LIMITS,
             CancellationToken::new(),
             stop,
+            Arc::default(),
             move |_, request| {
                 let desk = Arc::clone(&desk);
                 async move { desk.handle(request).await }
@@ -287,6 +291,7 @@
             forwarder: Arc::clone(&forwarder),
             format: Arc::clone(&edge.format),
             flights: self.flights.clone(),
+            link: Arc::clone(&side.link),
         });
         smol::spawn(async move {
             loop {
@@ -304,7 +309,8 @@
             async move { ingress.handle(request).await }
         };
         let (closing, closed) = (self.closing.clone(), self.closed.clone());
-        smol::spawn(http_server::serve(callers, limits, closing, closed, handler)).detach();
+        let sent = Arc::clone(&side.link.sent_to_callers);
+        smol::spawn(http_server::serve(callers, limits, closing, closed, sent, handler)).detach();
     }
 
     fn spawn_status(
@@ -332,23 +338,25 @@
         };
         let never = CancellationToken::new;
         let limits = || SERVICE_LIMITS;
-        smol::spawn(http_server::serve(readiness, limits, never(), self.stop.clone(), ready))
-            .detach();
+        let stop = || self.stop.clone();
+        let served = http_server::serve(readiness, limits, never(), stop(), Arc::default(), ready);
+        smol::spawn(served).detach();
         if let Some(listener) = metrics {
             let text = edge.metrics;
             let answer = move |_, _| async move { http_server::plain(StatusCode::OK, text()) };
-            smol::spawn(http_server::serve(listener, limits, never(), self.stop.clone(), answer))
-                .detach();
+            let served =
+                http_server::serve(listener, limits, never(), stop(), Arc::default(), answer);
+            smol::spawn(served).detach();
         }
     }
 
     /// Leaves: callers are told to go elsewhere, requests in flight are answered, then it stops.
     pub async fn leave(&self) {
         let started = clock::now();
+        let end = started + self.settings.grace.saturating_sub(EXIT_MARGIN);
         self.is_leaving.store(true, Ordering::Relaxed);
         self.entry_changed.notify(usize::MAX);
         self.closing.cancel();
-        let end = started + self.settings.grace.saturating_sub(EXIT_MARGIN);
         let mut idle_looks = 0;
         while clock::now() < end && idle_looks < IDLE_LOOKS {
             clock::sleep(STOP_LOOK).await;
--- a/crates/sidecar/src/peers.rs
+++ b/crates/sidecar/src/peers.rs
@@ -6,6 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use cornelridge_fleet::gate;
+use cornelridge_fleet::link;
 use cornelridge_fleet::member;
 use cornelridge_model::time;
 use cornelridge_wire::{codec, generated, headers, transport};
@@ -24,9 +25,6 @@
 const CONNECT_PATIENCE: time::Duration = time::Duration::from_millis(350);
 /// Time that another node gets after the deadline to say what became of a request.
 const PEER_GRACE: time::Duration = time::Duration::from_millis(200);
-/// Time after which an answer counts as delivered although the other node didn't say so: about the
-/// longest that a caller waits.
-const DELIVERY_LIMIT: time::Duration = time::Duration::from_secs(3);
 
 /// Sends requests to other nodes and serves theirs.
 #[derive(Clone)]
@@ -37,6 +35,15 @@
     pub(crate) reached: Arc<Mutex<HashMap<net::SocketAddr, Arc<str>>>>,
 }
 
+/// What the order in which answers leave depends on.
+struct AnswerDue {
+    route: Arc<str>,
+    /// When the answer is worth less.
+    target: time::Instant,
+    /// When it is worth nothing.
+    deadline: time::Instant,
+}
+
 /// What another node said.
 pub(crate) struct PeerResult {
     /// Its answer.
@@ -229,7 +236,9 @@
         mut reader: transport::FrameReader,
     ) {
         let route: Arc<str> = head.route.as_str().into();
-        let deadline = clock::now() + time::Duration(head.deadline_us);
+        let now = clock::now();
+        let deadline = now + time::Duration(head.deadline_us);
+        let target = now + time::Duration(head.target_us);
         let body = async {
             match head.has_body {
                 true => receive_body(&mut reader).await,
@@ -257,7 +266,8 @@
             }
             Err(answer::AnswerCut { reason: "the other node stopped reading".to_owned() })
         };
-        let sent = self.send_result(&dispatch, &route, result, &mut writer);
+        let due = AnswerDue { route, target, deadline };
+        let sent = self.send_result(&dispatch, &due, result, &mut writer);
         if let Err(error) = future::or(sent, stopped).await {
             log::debug!(error:% = error; "answer not delivered to another node");
         }
@@ -266,11 +276,11 @@
     async fn send_result(
         &self,
         dispatch: &dispatch::WorkerDispatch,
-        route: &Arc<str>,
+        due: &AnswerDue,
         result: Result<answer::WorkerAnswer, RequestFailure>,
         writer: &mut transport::FrameWriter,
     ) -> Result<(), answer::AnswerCut> {
-        let load = Some(self.load_to_wire(dispatch.side.load(route)));
+        let load = Some(self.load_to_wire(dispatch.side.load(&due.route)));
         let (kind, body) = match result {
             Ok(answer) => {
                 let start = generated::ResponseStart {
@@ -290,18 +300,21 @@
             |error: transport::TransportError| answer::AnswerCut { reason: error.to_string() };
         writer.queue(&generated::ResponseHead { kind: Some(kind) }).map_err(cut)?;
         let Some(mut body) = body else { return writer.finish().await.map_err(cut) };
-        let mark = dispatch.side.sending(route, body.ready_bytes());
+        let bytes = body.ready_bytes();
+        let AnswerDue { ref route, target, deadline } = *due;
+        let answer = link::LargeAnswer { bytes, target, deadline };
+        let mut sending = dispatch.side.link.start(route, answer);
         // Dropping the writer before its end resets the stream, which the other node sees.
-        while let Some(data) = body.next().await? {
+        while let Some(data) = body.next_piece(sending.piece_bytes()).await? {
+            sending.turn(data.len()).await;
             send_chunks(writer, data).await.map_err(cut)?;
+            if sending.is_large() {
+                writer.flush().await.map_err(cut)?;
+            }
         }
         let last = generated::BodyChunk { data: Bytes::new(), last: true };
         writer.queue(&last).map_err(cut)?;
-        writer.finish().await.map_err(cut)?;
-        if mark.is_large() {
-            clock::within(DELIVERY_LIMIT, writer.received()).await;
-        }
-        Ok(())
+        writer.finish().await.map_err(cut)
     }
 }
 
--- /dev/null
+++ b/crates/sidecar/src/sending.rs
@@ -0,0 +1,162 @@
+//! Large answers to other nodes and to callers, which leave as the link of the machine has room.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use cornelridge_fleet::link;
+use cornelridge_model::time;
+use cornelridge_wire::transport;
+use event_listener::Event;
+use futures_lite::future;
+use smol::channel;
+
+use crate::clock;
+use crate::view::lock;
+
+/// Time after which a look at the link is due although nothing seems to wait.
+const IDLE_LOOK: time::Duration = time::Duration::from_secs(1);
+
+/// Time in which the link carries what a connection may have on its way without acknowledgement:
+/// several round trips within a region.
+const UNACKNOWLEDGED_TERM: time::Duration = time::Duration::from_millis(50);
+/// Least of that, in bytes: some pieces, so that a connection needn't wait for each of them.
+const LEAST_UNACKNOWLEDGED: u64 = 4 * link::LEAST_PIECE_BYTES as u64;
+
+/// Most unacknowledged bytes of a connection of a machine whose link has this rate. What waits for
+/// a full link stays in the queue of answers, which puts them in order.
+pub(crate) fn unacknowledged_bytes(bytes_per_second: u64) -> u64 {
+    let bytes = (bytes_per_second as f64 * UNACKNOWLEDGED_TERM.as_secs_f64()) as u64;
+    bytes.clamp(LEAST_UNACKNOWLEDGED, transport::UNACKNOWLEDGED_BYTES)
+}
+
+/// The link of the machine, as far as large answers use it.
+#[derive(Debug)]
+pub(crate) struct AnswerLink {
+    queue: Mutex<link::LinkQueue>,
+    /// Answers whose next piece waits.
+    turns: Mutex<HashMap<link::AnswerKey, channel::Sender<()>>>,
+    changed: Event,
+    next_key: AtomicU64,
+    endpoint: transport::NodeEndpoint,
+    /// Bytes that left for callers since the start.
+    pub(crate) sent_to_callers: Arc<AtomicU64>,
+}
+
+/// An answer that leaves the machine.
+#[derive(Debug)]
+pub(crate) enum SendingAnswer {
+    /// A short one, which doesn't wait.
+    Short,
+    /// A large one.
+    Large(LargeSending),
+}
+
+/// A large answer, until it is dropped.
+#[derive(Debug)]
+pub(crate) struct LargeSending {
+    link: Arc<AnswerLink>,
+    key: link::AnswerKey,
+    piece_bytes: usize,
+    turn: channel::Receiver<()>,
+    sender: channel::Sender<()>,
+}
+
+impl AnswerLink {
+    pub(crate) fn new(bytes_per_second: u64, endpoint: transport::NodeEndpoint) -> Arc<AnswerLink> {
+        Arc::new(AnswerLink {
+            queue: Mutex::new(link::LinkQueue::new(clock::now(), bytes_per_second)),
+            turns: Mutex::default(),
+            changed: Event::new(),
+            next_key: AtomicU64::new(1),
+            endpoint,
+            sent_to_callers: Arc::default(),
+        })
+    }
+
+    /// What is known of the link.
+    pub(crate) fn with_queue<T>(&self, look: impl FnOnce(&link::LinkQueue) -> T) -> T {
+        look(&lock(&self.queue))
+    }
+
+    /// An answer of this route leaves.
+    pub(crate) fn start(
+        self: &Arc<AnswerLink>,
+        route: &Arc<str>,
+        answer: link::LargeAnswer,
+    ) -> SendingAnswer {
+        let mut queue = lock(&self.queue);
+        queue.note(route, answer.bytes);
+        if !link::LinkQueue::is_large(answer.bytes) {
+            return SendingAnswer::Short;
+        }
+        let key = link::AnswerKey(self.next_key.fetch_add(1, Ordering::Relaxed));
+        queue.start(key, answer);
+        let (sender, turn) = channel::bounded(1);
+        let (link, piece_bytes) = (Arc::clone(self), queue.piece_bytes());
+        SendingAnswer::Large(LargeSending { link, key, piece_bytes, turn, sender })
+    }
+
+    /// Lets pieces out at the rate of the link.
+    pub(crate) async fn run(self: Arc<AnswerLink>) {
+        loop {
+            let changed = self.changed.listen();
+            match self.step() {
+                Some(until) => clock::sleep(until.since(clock::now())).await,
+                None => future::or(changed, clock::sleep(IDLE_LOOK)).await,
+            }
+        }
+    }
+
+    /// Lets out what may leave now; the time of the next piece, if one waits.
+    fn step(&self) -> Option<time::Instant> {
+        loop {
+            let sent = self.endpoint.sent_bytes() + self.sent_to_callers.load(Ordering::Relaxed);
+            let step = lock(&self.queue).step(clock::now(), sent);
+            match step {
+                link::LinkStep::Send(key) => {
+                    if let Some(turn) = lock(&self.turns).remove(&key) {
+                        // An answer that was given up meanwhile takes no turn.
+                        let _ = turn.try_send(());
+                    }
+                }
+                link::LinkStep::Wait(until) => return Some(until),
+                link::LinkStep::Idle => return None,
+            }
+        }
+    }
+}
+
+impl SendingAnswer {
+    /// Most bytes that may be sent in one turn.
+    pub(crate) fn piece_bytes(&self) -> usize {
+        match self {
+            SendingAnswer::Short => usize::MAX,
+            SendingAnswer::Large(sending) => sending.piece_bytes,
+        }
+    }
+
+    /// Whether its pieces wait for their turn.
+    pub(crate) fn is_large(&self) -> bool {
+        matches!(self, SendingAnswer::Large(_))
+    }
+
+    /// Waits until the next piece, of so many bytes, may be sent.
+    pub(crate) async fn turn(&mut self, bytes: usize) {
+        let SendingAnswer::Large(sending) = self else { return };
+        lock(&sending.link.turns).insert(sending.key, sending.sender.clone());
+        lock(&sending.link.queue).want(sending.key, bytes);
+        if sending.link.step().is_some() {
+            sending.link.changed.notify(usize::MAX);
+        }
+        // Both ends live as long as the answer.
+        let _ = sending.turn.recv().await;
+    }
+}
+
+impl Drop for LargeSending {
+    fn drop(&mut self) {
+        lock(&self.link.turns).remove(&self.key);
+        lock(&self.link.queue).end(self.key);
+    }
+}
--- a/crates/sidecar/src/worker.rs
+++ b/crates/sidecar/src/worker.rs
@@ -8,7 +8,6 @@
 use cornelridge_fleet::gate;
 use cornelridge_fleet::grant;
 use cornelridge_fleet::heat;
-use cornelridge_fleet::link;
 use cornelridge_fleet::member;
 use cornelridge_fleet::tenure;
 use cornelridge_model::time;
@@ -23,6 +22,7 @@
 use crate::failure::{FailureCause, RequestFailure};
 use crate::meter;
 use crate::request;
+use crate::sending;
 use crate::settings;
 use crate::view::lock;
 
@@ -47,7 +47,8 @@
     desk: Mutex<grant::GrantDesk>,
     tenure: Mutex<tenure::EntryTenure>,
     gate: Mutex<gate::SlotGate>,
-    link: Mutex<link::LinkQueue>,
+    /// The way of large answers out of this machine.
+    pub(crate) link: Arc<sending::AnswerLink>,
     /// Requests that were refused because of the link.
     link_refusals: AtomicU64,
     heat: Mutex<heat::KeyHeat>,
@@ -60,26 +61,6 @@
     changed: Event,
 }
 
-/// A large answer on its way to another node.
-#[derive(Debug)]
-pub(crate) struct SendingMark {
-    side: Arc<WorkerSide>,
-    bytes: usize,
-}
-
-impl SendingMark {
-    /// Whether the answer is so large that others wait for it.
-    pub(crate) fn is_large(&self) -> bool {
-        self.bytes > 0
-    }
-}
-
-impl Drop for SendingMark {
-    fn drop(&mut self) {
-        lock(&self.side.link).ended(self.bytes);
-    }
-}
-
 /// A slot of the worker, given back when it is dropped.
 #[derive(Debug)]
 pub(crate) struct SlotPermit {
@@ -91,7 +72,10 @@
 }
 
 impl WorkerSide {
-    pub(crate) fn new(settings: &settings::SidecarSettings) -> WorkerSide {
+    pub(crate) fn new(
+        settings: &settings::SidecarSettings,
+        link: Arc<sending::AnswerLink>,
+    ) -> WorkerSide {
         let now = clock::now();
         let address = settings.worker;
         WorkerSide {
@@ -99,7 +83,7 @@
             pool: connections::ConnectionPool::new(address),
             drain: settings.drain,
             desk: Mutex::new(grant::GrantDesk::new(Arc::clone(&settings.node), now)),
-            link: Mutex::new(link::LinkQueue::new(settings.link_bytes_per_second)),
+            link,
             link_refusals: AtomicU64::new(0),
             tenure: Mutex::default(),
             gate: Mutex::new(gate::SlotGate::new(now)),
@@ -147,34 +131,21 @@
     pub(crate) fn load(&self, route: &str) -> gate::GateLoad {
         let gate = lock(&self.gate);
         let load = gate.load(clock::now(), route);
-        let sending = lock(&self.link).large_delay(gate.routes(), load.expected);
+        let sending = self.link.with_queue(|link| link.large_delay(gate.routes(), load.expected));
         gate::GateLoad { sending, ..load }
     }
 
     /// Time that the answer to a request will take to reach its caller once it is ready.
     fn sending_time(&self, request: &request::FleetRequest) -> time::Duration {
         // Most answers are short, and the gate goes through its queue to tell when one is ready.
-        if request.is_local || !lock(&self.link).expects_large(&request.route) {
+        let route = &request.route;
+        if !self.link.with_queue(|link| link.expects_large(route)) {
             return time::Duration::ZERO;
         }
         let gate = lock(&self.gate);
-        let ready = gate.load(clock::now(), &request.route).expected;
-        lock(&self.link).delay(&request.route, gate.routes(), ready)
-    }
-
-    /// Counts an answer that leaves for another node, until the mark is dropped.
-    pub(crate) fn sending(self: &Arc<WorkerSide>, route: &Arc<str>, bytes: usize) -> SendingMark {
-        let mut link = lock(&self.link);
-        link.note(route, bytes);
-        let bytes = if link::LinkQueue::is_large(bytes) { bytes } else { 0 };
-        link.started(bytes);
-        SendingMark { side: Arc::clone(self), bytes }
-    }
-
-    /// Bytes of large answers that were received since the start, and of those on their way.
-    pub(crate) fn large_bytes(&self) -> (u64, u64) {
-        let link = lock(&self.link);
-        (link.received_bytes(), link.unsent_bytes())
+        let ready = gate.load(clock::now(), route).expected;
+        let links = if request.is_local { 1 } else { 2 };
+        self.link.with_queue(|link| link.delay(route, links, gate.routes(), ready))
     }
 
     /// Requests that were refused since the start because of the link.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,7 +11,7 @@
 //! let authority = identity::TrialAuthority::new()?;
 //! let listen = "127.0.0.1:0".parse()?;
 //! let settings = |name| -> Result<_, identity::IdentityError> {
-//!     Ok(transport::EndpointSettings { listen, identity: authority.issue(name)? })
+//!     Ok(transport::EndpointSettings::new(listen, authority.issue(name)?))
 //! };
 //! let ingress = transport::NodeEndpoint::bind(settings("ingress")?)?;
 //! let egress = transport::NodeEndpoint::bind(settings("egress")?)?;
--- a/crates/wire/src/transport.rs
+++ b/crates/wire/src/transport.rs
@@ -29,8 +29,8 @@
 /// Credit for all streams of a connection. It covers a full window of every stream, because slow
 /// readers would otherwise hold all the credit and block the other streams.
 const CONNECTION_WINDOW_BYTES: u32 = MAX_STREAMS * STREAM_WINDOW_BYTES;
-/// Unacknowledged data of a connection.
-const SEND_WINDOW_BYTES: u64 = 4 * 1024 * 1024;
+/// Unacknowledged data that fills a connection between two regions.
+pub const UNACKNOWLEDGED_BYTES: u64 = 4 * 1024 * 1024;
 /// Datagrams that wait to be sent or read, in bytes, on one connection.
 const DATAGRAM_BUFFER_BYTES: usize = 64 * 1024;
 /// Time without any packet after which a connection is over.
@@ -64,6 +64,15 @@
     pub listen: net::SocketAddr,
     /// Certificate, key and trusted authorities.
     pub identity: identity::TlsIdentity,
+    /// Most unacknowledged data of a connection, in bytes; writers wait behind it.
+    pub unacknowledged_bytes: u64,
+}
+
+impl EndpointSettings {
+    /// Settings for connections that may pass between regions.
+    pub fn new(listen: net::SocketAddr, identity: identity::TlsIdentity) -> EndpointSettings {
+        EndpointSettings { listen, identity, unacknowledged_bytes: UNACKNOWLEDGED_BYTES }
+    }
 }
 
 /// What a peer sent.
@@ -128,6 +137,7 @@
     address: net::SocketAddr,
     peers: Mutex<PeerTable>,
     client: Mutex<quinn::ClientConfig>,
+    unacknowledged_bytes: u64,
     events: channel::Sender<PeerEvent>,
     watch: channel::Sender<Arc<PeerConnection>>,
     handshakes: AtomicUsize,
@@ -152,7 +162,7 @@
 impl NodeEndpoint {
     /// Opens the socket and starts to accept peers.
     pub fn bind(settings: EndpointSettings) -> Result<NodeEndpoint, TransportError> {
-        let EndpointSettings { listen, identity } = settings;
+        let EndpointSettings { listen, identity, unacknowledged_bytes } = settings;
         if identity.accepts_any() && !listen.ip().is_loopback() {
             return Err(TransportError::ExposedTrial { listen });
         }
@@ -162,7 +172,7 @@
         let sent_bytes = Arc::<AtomicU64>::default();
         let endpoint = quinn::Endpoint::new_with_abstract_socket(
             quinn::EndpointConfig::default(),
-            Some(server_config(&identity)),
+            Some(server_config(&identity, unacknowledged_bytes)),
             Arc::new(socket::CountedSocket::new(socket, Arc::clone(&sent_bytes))),
             Arc::new(quinn::SmolRuntime),
         )
@@ -173,7 +183,8 @@
             address: endpoint.local_addr().map_err(failed)?,
             endpoint,
             peers: Mutex::default(),
-            client: Mutex::new(client_config(&identity)),
+            client: Mutex::new(client_config(&identity, unacknowledged_bytes)),
+            unacknowledged_bytes,
             events,
             watch,
             handshakes: AtomicUsize::new(0),
@@ -203,6 +214,11 @@
         self.shared.peers().connections()
     }
 
+    /// Bytes of all datagrams sent since the start, repeated ones included.
+    pub fn sent_bytes(&self) -> u64 {
+        self.shared.sent_bytes.load(Ordering::Relaxed)
+    }
+
     /// Figures for metrics.
     pub fn counts(&self) -> TransportCounts {
         let (mut lost_packets, mut longest_round_trip) =
@@ -217,7 +233,7 @@
             dropped_datagrams: self.shared.dropped_datagrams.load(Ordering::Relaxed),
             control_sent: self.shared.control.sent.load(Ordering::Relaxed),
             control_received: self.shared.control.received.load(Ordering::Relaxed),
-            sent_bytes: self.shared.sent_bytes.load(Ordering::Relaxed),
+            sent_bytes: self.sent_bytes(),
             lost_packets,
             longest_round_trip,
         }
@@ -265,8 +281,10 @@
 
     /// Uses another identity for new connections; established ones go on.
     pub fn reload(&self, identity: &identity::TlsIdentity) {
-        *lock(&self.shared.client) = client_config(identity);
-        self.shared.endpoint.set_server_config(Some(server_config(identity)));
+        let unacknowledged_bytes = self.shared.unacknowledged_bytes;
+        *lock(&self.shared.client) = client_config(identity, unacknowledged_bytes);
+        let config = server_config(identity, unacknowledged_bytes);
+        self.shared.endpoint.set_server_config(Some(config));
     }
 
     /// Closes all connections at once; streams that aren't over end with an error.
@@ -435,31 +453,37 @@
     certificate.is_some_and(identity::is_node_certificate)
 }
 
-fn client_config(identity: &identity::TlsIdentity) -> quinn::ClientConfig {
+fn client_config(
+    identity: &identity::TlsIdentity,
+    unacknowledged_bytes: u64,
+) -> quinn::ClientConfig {
     let mut config = quinn::ClientConfig::new(identity.client());
     // One side's keep-alive is enough: both sides see its packets.
-    let mut transport = transport_config();
+    let mut transport = transport_config(unacknowledged_bytes);
     transport.keep_alive_interval(Some(KEEP_ALIVE));
     config.transport_config(Arc::new(transport));
     config
 }
 
-fn server_config(identity: &identity::TlsIdentity) -> quinn::ServerConfig {
+fn server_config(
+    identity: &identity::TlsIdentity,
+    unacknowledged_bytes: u64,
+) -> quinn::ServerConfig {
     let mut config = quinn::ServerConfig::with_crypto(identity.server());
-    config.transport_config(Arc::new(transport_config()));
+    config.transport_config(Arc::new(transport_config(unacknowledged_bytes)));
     config.max_incoming(MAX_HANDSHAKES);
     config.migration(false);
     config
 }
 
-fn transport_config() -> quinn::TransportConfig {
+fn transport_config(unacknowledged_bytes: u64) -> quinn::TransportConfig {
     let mut config = quinn::TransportConfig::default();
     config
         .max_concurrent_bidi_streams(INITIAL_STREAMS.into())
         .max_concurrent_uni_streams(0_u32.into())
         .stream_receive_window(STREAM_WINDOW_BYTES.into())
         .receive_window(CONNECTION_WINDOW_BYTES.into())
-        .send_window(SEND_WINDOW_BYTES)
+        .send_window(unacknowledged_bytes)
         .datagram_receive_buffer_size(Some(DATAGRAM_BUFFER_BYTES))
         .datagram_send_buffer_size(DATAGRAM_BUFFER_BYTES)
         .initial_rtt(INITIAL_RTT)
--- a/crates/wire/src/watched.rs
+++ b/crates/wire/src/watched.rs
@@ -5,6 +5,7 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 
@@ -23,6 +24,8 @@
 pub struct WatchedStream {
     stream: net::TcpStream,
     ahead: Arc<Mutex<ReadAhead>>,
+    /// Bytes that were written, on all connections that share the count.
+    sent: Arc<AtomicU64>,
 }
 
 /// Sees the end of a connection whose server doesn't read.
@@ -40,11 +43,12 @@
     is_reading: bool,
 }
 
-/// Watches a connection. Both sides have to be polled by the same task, the stream first.
-pub fn watch(stream: net::TcpStream) -> (WatchedStream, CloseWatch) {
+/// Watches a connection and counts into `sent` what is written to it. Both sides have to be polled
+/// by the same task, the stream first.
+pub fn watch(stream: net::TcpStream, sent: Arc<AtomicU64>) -> (WatchedStream, CloseWatch) {
     let ahead = Arc::default();
     let watch = CloseWatch { stream: stream.clone(), ahead: Arc::clone(&ahead) };
-    (WatchedStream { stream, ahead }, watch)
+    (WatchedStream { stream, ahead, sent }, watch)
 }
 
 impl CloseWatch {
@@ -96,7 +100,11 @@
         context: &mut Context<'_>,
         data: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, data)
+        let written = Pin::new(&mut self.stream).poll_write(context, data);
+        if let Poll::Ready(Ok(count)) = written {
+            self.sent.fetch_add(count as u64, Ordering::Relaxed);
+        }
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
