Pass a success on only if the worker signed it

Report of another operator: a worker stopped in its answer's head, and callers got a 200 with an empty or short body, framed as whole. Cause: not reproduced as reported: hyper reports each head and body that stops (test an_answer_that_stops_anywhere_is_never_whole). But nothing looked at whether a success is signed, which every whole answer of a worker is, so that an answer of another origin was passed on as good. Evidence: the new test failed before with a 200 without signature. Change: a success without the signature header is a wrong answer: the outcome is unknown, and the connection is given up. Ruled out: checking failures, too, which need no signature.

--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -220,6 +220,14 @@
             self.side.pool.distrust();
             return Err(RequestFailure::unknown(FailureCause::WrongAnswer));
         }
+        let is_signed = parts.headers.contains_key(&names.signature);
+        if parts.status.is_success() && !is_signed {
+            log::warn!(
+                request:% = request.id, status = parts.status.as_u16(); "success without a signature"
+            );
+            self.side.pool.distrust();
+            return Err(RequestFailure::unknown(FailureCause::WrongAnswer));
+        }
         let is_refusal = parts.headers.contains_key(&names.not_executed)
             || parts.status == StatusCode::MISDIRECTED_REQUEST;
         if is_refusal {
--- a/crates/sidecar/src/edge.rs
+++ b/crates/sidecar/src/edge.rs
@@ -24,6 +24,8 @@
     pub expected_worker: HeaderName,
     /// Set by a worker that did not run a request.
     pub not_executed: HeaderName,
+    /// Set by a worker on each success.
+    pub signature: HeaderName,
 }
 
 /// A call of the worker at the report address.
--- a/crates/sidecar/tests/nodes/faulty.rs
+++ b/crates/sidecar/tests/nodes/faulty.rs
@@ -66,3 +66,16 @@
         }
     });
 }
+
+/// Guards against passing on as a success what the worker hasn't signed.
+#[test]
+fn a_success_without_a_signature_is_not_passed_on() {
+    block_on(async {
+        let deployment = scripted("desk", "/read/x", None).await;
+        for (host, id) in [(0, "unsigned-near"), (1, "unsigned-far")] {
+            let answer = deployment.call(host, id, "/order/x", None).await;
+            assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{answer:?}");
+            assert_eq!(deployment.runs(id), 1);
+        }
+    });
+}
--- a/crates/sidecar/tests/nodes/standin/mod.rs
+++ b/crates/sidecar/tests/nodes/standin/mod.rs
@@ -230,6 +230,7 @@
                 caller_service: HeaderName::from_static("x-caller"),
                 expected_worker: HeaderName::from_static("x-worker"),
                 not_executed: HeaderName::from_static("x-not-executed"),
+                signature: HeaderName::from_static("x-signature"),
             },
             config: Mutex::new(fleet_config()),
         });
