Refuse what may not end before a stopping node does

A stopping node accepts connections for 2.6 s and takes requests on open ones until its end, and nothing compared their deadlines with that end. A node beside a worker took requests of other nodes for 2.6 s in the same way, for keys that the worker holds also after the news that it leaves. Evidence: two new tests failed before: 502 node-lost or no answer at all for a request of 15 s at a caller's node with 3.6 s left, and 502 node-lost through the node beside the worker. Ruled out: refusing everything from the request to stop on, as callers are sent elsewhere only after two missed questions of a second each. Change: a stopping node knows when it ends, and refuses as not run, before it is passed on, what may last longer; both for callers and for other nodes, before and after the wait for a slot. What can end in time is still served. The cause is named node-stopping.

--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -79,13 +79,13 @@
         gone: &CancellationToken,
     ) -> Result<answer::WorkerAnswer, RequestFailure> {
         let arrived = clock::now();
-        self.side.check(&worker, &request.service)?;
+        self.side.check(&worker, request)?;
         if let Some(key) = request.key {
             self.side.note_key(key);
             self.await_grant(key, request, &worker, gone).await?;
         }
         let permit = self.side.admit(request, gone).await?;
-        self.side.check(&worker, &request.service)?;
+        self.side.check(&worker, request)?;
         if request.key.is_some_and(|key| !self.side.desk().serves(clock::now(), key)) {
             return Err(RequestFailure::not_run(FailureCause::KeyNotHeld));
         }
--- a/crates/sidecar/src/failure.rs
+++ b/crates/sidecar/src/failure.rs
@@ -37,6 +37,9 @@
     /// The worker is leaving.
     #[display("worker-leaving")]
     WorkerLeaving,
+    /// A node on the way stops before the request may end.
+    #[display("node-stopping")]
+    NodeStopping,
     /// The worker doesn't hold the key.
     #[display("key-not-held")]
     KeyNotHeld,
@@ -153,9 +156,10 @@
 }
 
 /// Causes that one node reports to another.
-const CAUSES: [FailureCause; 11] = [
+const CAUSES: [FailureCause; 12] = [
     FailureCause::WorkerGone,
     FailureCause::WorkerLeaving,
+    FailureCause::NodeStopping,
     FailureCause::KeyNotHeld,
     FailureCause::Overloaded,
     FailureCause::WorkerFull,
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -373,6 +373,7 @@
         FailureCause::NodeUnreachable
         | FailureCause::WorkerGone
         | FailureCause::WorkerLeaving
+        | FailureCause::NodeStopping
         | FailureCause::WorkerRefuses => choice::ChoiceResult::Unreachable,
         FailureCause::Overloaded | FailureCause::WorkerFull | FailureCause::KeyNotHeld => {
             choice::ChoiceResult::Refused
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -23,6 +23,7 @@
 use crate::meter;
 use crate::request;
 use crate::sending;
+use crate::stopping;
 use crate::view;
 
 /// Time after which a request that wasn't run may come again, if nothing better is known.
@@ -37,6 +38,7 @@
     pub(crate) forwarder: Arc<forward::RequestForwarder>,
     pub(crate) format: Arc<dyn edge::EdgeFormat>,
     pub(crate) flights: flight::FlightCounter,
+    pub(crate) end: stopping::NodeEnd,
     pub(crate) link: Arc<sending::AnswerLink>,
 }
 
@@ -146,6 +148,7 @@
         let allowed = text(&parts.headers, &names.deadline).parse::<u64>().ok();
         let allowed = allowed.map_or(route.timeout, time::Duration::from_millis);
         let deadline = arrived + time::Duration(allowed.0.min(route.timeout.0));
+        self.end.check(deadline)?;
         let body = read_body(incoming, in_force.config.limits.body_bytes, deadline).await?;
         let path: Arc<str> = match parts.uri.path_and_query() {
             Some(path) => path.as_str().into(),
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -36,5 +36,6 @@
 mod reports;
 mod sending;
 mod session;
+mod stopping;
 mod view;
 mod worker;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -33,6 +33,7 @@
 use crate::sending;
 use crate::session;
 use crate::settings;
+use crate::stopping;
 use crate::view;
 use crate::worker;
 
@@ -93,6 +94,7 @@
     /// Cancelled when no more connections of callers are accepted.
     closed: CancellationToken,
     stop: CancellationToken,
+    end: stopping::NodeEnd,
     flights: flight::FlightCounter,
     side: Arc<worker::WorkerSide>,
     endpoint: transport::NodeEndpoint,
@@ -137,8 +139,9 @@
         };
         let mut random = fastrand::Rng::new();
         let node = Arc::clone(&settings.node);
+        let end = stopping::NodeEnd::default();
         let link = sending::AnswerLink::new(settings.link_bytes_per_second, endpoint.clone());
-        let side = worker::WorkerSide::new(&settings, link);
+        let side = worker::WorkerSide::new(&settings, end.clone(), link);
         let side = Arc::new(side);
         let started = SidecarNode {
             view: Arc::clone(&view),
@@ -147,6 +150,7 @@
             closing: CancellationToken::new(),
             closed: CancellationToken::new(),
             stop: CancellationToken::new(),
+            end,
             flights: flight::FlightCounter::default(),
             side: Arc::clone(&side),
             endpoint: endpoint.clone(),
@@ -291,6 +295,7 @@
             forwarder: Arc::clone(&forwarder),
             format: Arc::clone(&edge.format),
             flights: self.flights.clone(),
+            end: self.end.clone(),
             link: Arc::clone(&side.link),
         });
         smol::spawn(async move {
@@ -354,6 +359,7 @@
     pub async fn leave(&self) {
         let started = clock::now();
         let end = started + self.settings.grace.saturating_sub(EXIT_MARGIN);
+        self.end.set(end);
         self.is_leaving.store(true, Ordering::Relaxed);
         self.entry_changed.notify(usize::MAX);
         self.closing.cancel();
--- a/crates/sidecar/src/worker.rs
+++ b/crates/sidecar/src/worker.rs
@@ -24,6 +24,7 @@
 use crate::request;
 use crate::sending;
 use crate::settings;
+use crate::stopping;
 use crate::view::lock;
 
 /// Time between two looks at the queue.
@@ -58,6 +59,8 @@
     next_key: AtomicU64,
     /// Whether the node takes no more requests for the worker.
     is_closed: AtomicBool,
+    /// When the node ends.
+    end: stopping::NodeEnd,
     changed: Event,
 }
 
@@ -74,6 +77,7 @@
 impl WorkerSide {
     pub(crate) fn new(
         settings: &settings::SidecarSettings,
+        end: stopping::NodeEnd,
         link: Arc<sending::AnswerLink>,
     ) -> WorkerSide {
         let now = clock::now();
@@ -92,6 +96,7 @@
             running: Mutex::default(),
             next_key: AtomicU64::new(1),
             is_closed: AtomicBool::new(false),
+            end,
             changed: Event::new(),
         }
     }
@@ -207,11 +212,12 @@
     pub(crate) fn check(
         &self,
         worker: &member::WorkerName,
-        service: &str,
+        request: &request::FleetRequest,
     ) -> Result<(), RequestFailure> {
+        self.end.check(request.deadline)?;
         let desk = self.desk();
         let known = desk.worker().filter(|report| report.name == *worker);
-        if known.is_none_or(|report| &*report.service != service) {
+        if known.is_none_or(|report| report.service != request.service) {
             return Err(RequestFailure::not_run(FailureCause::WorkerGone));
         }
         let leaving_since = desk.leaving_since();
--- a/crates/sidecar/tests/nodes/main.rs
+++ b/crates/sidecar/tests/nodes/main.rs
@@ -9,3 +9,4 @@
 mod pacing;
 mod requests;
 mod standin;
+mod stopping;
--- /dev/null
+++ b/crates/sidecar/tests/nodes/stopping.rs
@@ -0,0 +1,74 @@
+//! Nodes that stop while requests still come.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::leaving::{DEADLINE, pipeline};
+use crate::standin::Deployment;
+use crate::standin::worker::Behaviour;
+use cornelridge_model::time;
+use cornelridge_sidecar::settings;
+use futures_lite::future::block_on;
+use futures_lite::{AsyncReadExt, future};
+use http::StatusCode;
+
+/// Time that a stopping node has; far less than requests may take here.
+const GRACE: time::Duration = time::Duration::from_secs(4);
+
+/// Sends a request through the second node while node `stopping` stops, and checks that it is
+/// refused at once as not run.
+fn check_late_request(stopping: usize, service: &str, path: &'static str, key: Option<u16>) {
+    block_on(async {
+        let services = [service, "office"];
+        let set_grace = |settings: &mut settings::SidecarSettings| settings.grace = GRACE;
+        let deployment = Deployment::start_with(Arc::default(), &services, set_grace).await;
+        deployment.configure(1);
+        deployment.settle(path, key).await;
+        let worker = &deployment.hosts[0].worker;
+        worker.behave(Behaviour::Hold);
+        let late = async {
+            smol::Timer::after(Duration::from_millis(500)).await;
+            let sent = Instant::now();
+            let answer = deployment.call(1, "late", path, key).await;
+            assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{answer:?}");
+            assert!(sent.elapsed() < GRACE.to_std() / 2, "refused after {:?}", sent.elapsed());
+            assert_eq!(worker.runs("late"), 0);
+        };
+        future::zip(deployment.hosts[stopping].node.leave(), late).await;
+    });
+}
+
+/// Guards against passing on a request that may take longer than a stopping node of its caller has,
+/// and cutting it off at the end.
+#[test]
+fn a_stopping_node_refuses_what_it_could_not_answer_in_time() {
+    check_late_request(1, "desk", "/read/x", None);
+}
+
+/// Guards against the same at the node beside the worker that holds the key of the request.
+#[test]
+fn a_stopping_node_takes_no_request_of_others_that_it_could_not_answer_in_time() {
+    check_late_request(0, "prices", "/deal/x", Some(7));
+}
+
+/// A request that can end in time is still served.
+#[test]
+fn a_stopping_node_answers_what_comes_before_its_end() {
+    block_on(async {
+        let deployment = Deployment::start(&["desk", "office"]).await;
+        deployment.configure(1);
+        deployment.settle("/read/x", None).await;
+        let node = &deployment.hosts[1].node;
+        let address = node.addresses.callers;
+        let soon = async {
+            smol::Timer::after(Duration::from_millis(500)).await;
+            let mut stream = pipeline(address, &["soon"]).await;
+            let mut text = String::new();
+            stream.read_to_string(&mut text).await.unwrap();
+            assert!(text.contains("answer to soon"), "{text:?}");
+        };
+        let sent = Instant::now();
+        future::zip(node.leave(), soon).await;
+        assert!(sent.elapsed() < DEADLINE, "it waited for nothing");
+    });
+}
