Serve a connection that is made while a node stops

What callers saw: in a planned stop, some new connections were closed without an answer to their first request. A connection that is accepted after the request to stop was told at once to shut down gracefully, and hyper closes a connection on which it hasn't read anything yet, though the request may already wait in the socket. Ruled out: the refusal of late requests (the test allows 20 s), and the watch for callers that leave (the close came from this side).

--- a/crates/sidecar/src/http_server.rs
+++ b/crates/sidecar/src/http_server.rs
@@ -136,7 +136,13 @@
         }
         true
     };
+    // A connection that is made while the server closes serves one request; `hyper` would close it
+    // now, if that request hasn't been read yet.
+    let is_last = closing.is_cancelled();
     let closed = async {
+        if is_last {
+            return future::pending().await;
+        }
         closing.cancelled().await;
         false
     };
