Let callers come again when the link has room for their answers

Cause: a request that is refused because of the link is told to come again after the whole time on the link, about a second. The answer to that attempt is late for its caller, whose target runs from its first attempt. Ruled out: the same for refusals for lack of a slot. Change: it may come again after the time by which it would have been late: then the link has room for it, if nothing else comes.

--- a/crates/fleet/src/gate.rs
+++ b/crates/fleet/src/gate.rs
@@ -241,8 +241,12 @@
     ) -> GateDecision {
         self.regrow(now);
         let is_free = self.running.len() < self.limit as usize;
-        if self.is_stuck(now, &request) {
-            return GateDecision::Refuse(refusal(RefusalReason::Link, request.sending));
+        if let Some(excess) = self.link_excess(now, &request) {
+            return GateDecision::Refuse(GateRefusal {
+                reason: RefusalReason::Link,
+                wait: request.sending,
+                retry_after: time::Duration(excess.0.max(LEAST_RETRY.0)),
+            });
         }
         if is_free && !self.has_before(request.rank()) {
             self.start(now, key, request.route);
@@ -252,16 +256,18 @@
         let service = self.service_of(&request.route);
         let in_time = now + wait + service + request.sending <= request.limit();
         if self.queue.len() >= MAX_QUEUED || !in_time || self.is_hopeless(now + wait, &request) {
-            return GateDecision::Refuse(refusal(RefusalReason::Slots, wait));
+            return GateDecision::Refuse(refusal(wait));
         }
         self.queue.insert((request.rank(), key), request);
         GateDecision::Wait
     }
 
-    /// Whether the answer would reach its caller too late even if the request ran at once.
-    fn is_stuck(&self, now: time::Instant, request: &GateRequest) -> bool {
-        let ready = now + self.service_of(&request.route);
-        request.sending > time::Duration::ZERO && ready + request.sending > request.limit()
+    /// By how much the answer would reach its caller too late even if the request ran at once, if so:
+    /// the time after which the link has room for it, if nothing else comes.
+    fn link_excess(&self, now: time::Instant, request: &GateRequest) -> Option<time::Duration> {
+        let received = now + self.service_of(&request.route) + request.sending;
+        let is_late = request.sending > time::Duration::ZERO && received > request.limit();
+        is_late.then(|| received.since(request.limit()))
     }
 
     /// Whether a request that starts at `start` would miss its deadline.
@@ -373,7 +379,7 @@
         for key in late {
             let wait = self.wait(now, key.0);
             self.queue.remove(&key);
-            actions.push(GateAction::Refuse(key.1, refusal(RefusalReason::Slots, wait)));
+            actions.push(GateAction::Refuse(key.1, refusal(wait)));
         }
         actions.append(&mut self.pump(now));
         actions
@@ -382,7 +388,7 @@
     /// Refuses everything that waits, because the worker is gone.
     pub fn clear(&mut self) -> Vec<GateAction> {
         let queue = std::mem::take(&mut self.queue);
-        let refused = refusal(RefusalReason::Slots, time::Duration::ZERO);
+        let refused = refusal(time::Duration::ZERO);
         queue.into_keys().map(|(_, key)| GateAction::Refuse(key, refused)).collect()
     }
 
@@ -416,6 +422,8 @@
     }
 }
 
-fn refusal(reason: RefusalReason, wait: time::Duration) -> GateRefusal {
+/// A refusal for lack of a slot.
+fn refusal(wait: time::Duration) -> GateRefusal {
+    let reason = RefusalReason::Slots;
     GateRefusal { reason, wait, retry_after: time::Duration(wait.0.max(LEAST_RETRY.0)) }
 }
--- a/crates/fleet/tests/gate.rs
+++ b/crates/fleet/tests/gate.rs
@@ -1,8 +1,12 @@
 //! Slots, order and refusals of the gate in front of a worker.
 
+#![allow(clippy::panic)]
+
 use std::sync::Arc;
 
-use cornelridge_fleet::gate::{GateAction, GateDecision, GateEnd, GateKey, GateRequest, SlotGate};
+use cornelridge_fleet::gate::{
+    GateAction, GateDecision, GateEnd, GateKey, GateRefusal, GateRequest, RefusalReason, SlotGate,
+};
 use cornelridge_model::time::{Duration, Instant};
 
 const START: Instant = Instant(1_000_000);
@@ -210,3 +214,17 @@
         assert!(slots >= 10, "{slots} of 12 slots after {step} steps");
     }
 }
+
+/// A caller that comes again after the whole wait for the link would be late then.
+#[test]
+fn a_request_refused_for_the_link_may_come_again_when_it_has_room() {
+    let mut gate = gate(4);
+    let slow = GateRequest { sending: millis(700), ..request(1, 600, 1_500) };
+    let GateDecision::Refuse(refusal) = gate.offer(START, GateKey(1), slow) else {
+        panic!("it can't reach its caller in time")
+    };
+    // With 100 ms at the worker it would be there 200 ms after its target.
+    let expected =
+        GateRefusal { reason: RefusalReason::Link, wait: millis(700), retry_after: millis(200) };
+    assert_eq!(refusal, expected);
+}
