Keep the streams of a peer that is silent for a while

Cause: after 0.9 s without a frame the watchdog closed the connection to another node and cut all requests on it. A slow peer was taken for a dead one. Ruled out: the link: round trips of 5 ms and 28 of 775 packets lost on that connection; the grace: the node that stopped had 5 s left. Change: after 0.9 s a connection gets no more streams, as before, so that further requests go elsewhere or over a new connection. What is open on it stays until 2.4 s, a little longer than the entry of a lost node lasts. A frame of the peer makes it usable again.

--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -44,6 +44,8 @@
     halves: AtomicUsize,
     watched: AtomicBool,
     retired: AtomicBool,
+    /// Whether the peer has sent nothing for a while although streams wait on it.
+    silent: AtomicBool,
     watch: channel::Sender<Arc<PeerConnection>>,
     control: Arc<ControlBytes>,
 }
@@ -56,14 +58,41 @@
     ) -> Arc<PeerConnection> {
         let peer = connection.remote_address();
         let (halves, watched) = (AtomicUsize::new(0), AtomicBool::new(false));
-        let retired = AtomicBool::new(false);
-        Arc::new(PeerConnection { connection, peer, halves, watched, retired, watch, control })
+        let (retired, silent) = (AtomicBool::new(false), AtomicBool::new(false));
+        Arc::new(PeerConnection {
+            connection,
+            peer,
+            halves,
+            watched,
+            retired,
+            silent,
+            watch,
+            control,
+        })
     }
 
     pub(crate) fn is_closed(&self) -> bool {
         self.connection.close_reason().is_some()
     }
 
+    /// Whether further streams may be opened.
+    pub(crate) fn is_usable(&self) -> bool {
+        !self.is_closed() && !self.silent.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the peer is silent, or not any more.
+    pub(crate) fn set_silent(&self, is_silent: bool) {
+        if self.silent.swap(is_silent, Ordering::Relaxed) == is_silent {
+            return;
+        }
+        let (path, halves) = (self.path(), self.halves.load(Ordering::Relaxed));
+        log::info!(
+            peer:% = self.peer, is_silent, round_trip_us = path.rtt.as_micros() as u64,
+            lost_packets = path.lost_packets, halves;
+            "a peer on which streams wait fell silent or answers again"
+        );
+    }
+
     /// Closes the connection as soon as no stream is open on it.
     pub(crate) fn retire(&self) {
         self.retired.store(true, Ordering::SeqCst);
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -68,7 +68,7 @@
             Some(Direction::Incoming) => [&self.incoming, &self.outgoing],
             _ => [&self.outgoing, &self.incoming],
         };
-        order.into_iter().flatten().find(|connection| !connection.is_closed())
+        order.into_iter().flatten().find(|connection| connection.is_usable())
     }
 
     fn side(&mut self, direction: Direction) -> &mut Option<Arc<PeerConnection>> {
--- a/crates/wire/src/watchdog.rs
+++ b/crates/wire/src/watchdog.rs
@@ -1,4 +1,6 @@
-//! Notices within a second that a peer is dead while streams wait on it.
+//! Notices that a peer is silent while streams wait on it: within a second for further streams, which
+//! go elsewhere, and later for those that are open, as a peer that is short of processor time may
+//! still serve them.
 
 use std::sync::Arc;
 use std::time;
@@ -9,10 +11,14 @@
 
 /// Time between two looks at the connections that have open streams.
 const WATCH_INTERVAL: time::Duration = time::Duration::from_millis(150);
-/// Looks without any frame from the peer after which it counts as dead. With the first look this
-/// gives at most 0.9 s. Looks are counted instead of time, so that a pause of this process, after
-/// which the answers are still unread in the socket, isn't taken for silence of the peer.
+/// Looks without any frame from the peer after which it gets no more streams on the connection.
+/// With the first look this gives at most 0.9 s. Looks are counted instead of time, so that a pause
+/// of this process, after which the answers are still unread in the socket, isn't taken for silence
+/// of the peer.
 const SILENT_LOOKS: u32 = 5;
+/// Looks without any frame from the peer after which it counts as dead, in the same way: 2.4 s, a
+/// little longer than the entry of a lost node lasts.
+const DEAD_LOOKS: u32 = 15;
 
 struct WatchedConnection {
     connection: Arc<connection::PeerConnection>,
@@ -38,13 +44,17 @@
         if frames != self.frames {
             self.frames = frames;
             self.silent = 0;
+            self.connection.set_silent(false);
             return true;
         }
         self.silent += 1;
-        if self.silent >= SILENT_LOOKS {
+        if self.silent >= DEAD_LOOKS {
             self.connection.close_as_dead();
             return false;
         }
+        if self.silent == SILENT_LOOKS {
+            self.connection.set_silent(true);
+        }
         self.connection.ping();
         true
     }
