--- a/crates/sidecar/src/sending.rs
+++ b/crates/sidecar/src/sending.rs
@@ -8,15 +8,11 @@
 use cornelridge_model::time;
 use cornelridge_wire::transport;
 use event_listener::Event;
-use futures_lite::future;
 use smol::channel;
 
 use crate::clock;
 use crate::view::lock;
 
-/// Time after which a look at the link is due although nothing seems to wait.
-const IDLE_LOOK: time::Duration = time::Duration::from_secs(1);
-
 /// Time in which the link carries what a connection may have on its way without acknowledgement:
 /// several round trips within a region.
 const UNACKNOWLEDGED_TERM: time::Duration = time::Duration::from_millis(50);
@@ -103,7 +99,7 @@
             let changed = self.changed.listen();
             match self.step() {
                 Some(until) => clock::sleep(until.since(clock::now())).await,
-                None => future::or(changed, clock::sleep(IDLE_LOOK)).await,
+                None => changed.await,
             }
         }
     }
