Wait for answers in the queue of the link before a node stops

A stopping node waits for the requests at its worker; ready answers to other nodes now wait for the link after their slot was given back, and weren't counted. Callers would get 502 for requests that their worker had answered. Ruled out: answers to callers, which hold their count of requests until the last byte. Change: answers that wait for the link count as in flight.

--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -207,6 +207,11 @@
         self.credit = (self.credit + time * rate - other).clamp(least, most);
     }
 
+    /// Large answers that haven't left as a whole yet.
+    pub fn leaving(&self) -> usize {
+        self.answers.len()
+    }
+
     /// Bytes of large answers that haven't left yet.
     pub fn waiting_bytes(&self) -> u64 {
         self.answers.values().map(|leaving| leaving.left as u64).sum()
--- a/crates/sidecar/src/worker.rs
+++ b/crates/sidecar/src/worker.rs
@@ -8,6 +8,7 @@
 use cornelridge_fleet::gate;
 use cornelridge_fleet::grant;
 use cornelridge_fleet::heat;
+use cornelridge_fleet::link;
 use cornelridge_fleet::member;
 use cornelridge_fleet::tenure;
 use cornelridge_model::time;
@@ -126,10 +127,10 @@
         self.is_closed.store(true, Ordering::Relaxed);
     }
 
-    /// Requests that run or wait.
+    /// Requests that run or wait, and answers that wait for the link.
     pub(crate) fn in_flight(&self) -> usize {
         let load = self.load("");
-        (load.running + load.queued) as usize
+        (load.running + load.queued) as usize + self.link.with_queue(link::LinkQueue::leaving)
     }
 
     /// Load as others may know it.
--- a/crates/sidecar/tests/nodes/pacing.rs
+++ b/crates/sidecar/tests/nodes/pacing.rs
@@ -104,3 +104,19 @@
         assert!(passed.iter().all(|count| *count <= CALLERS / 2), "{passed:?}");
     });
 }
+
+/// Guards against a node that stops while answers that are ready wait for its link.
+#[test]
+fn a_stopping_node_sends_the_answers_that_wait_for_the_link() {
+    block_on(async {
+        let (deployment, _relay) = files_behind_a_link(SLOW_RATE).await;
+        let received = Arc::new(AtomicUsize::new(0));
+        ask_for_files(&deployment, &received).await;
+        until("the first file is there", || async { received.load(Ordering::SeqCst) > 0 }).await;
+        deployment.hosts[CALLERS].node.leave().await;
+        let all = CALLERS * FILES_PER_CALLER;
+        // The last bytes are on their way when the node ends.
+        smol::Timer::after(Duration::from_secs(1)).await;
+        assert_eq!(received.load(Ordering::SeqCst), all);
+    });
+}
