--- a/crates/sidecar/tests/nodes/pacing.rs
+++ b/crates/sidecar/tests/nodes/pacing.rs
@@ -91,17 +91,15 @@
         ask_for_files(&deployment, &received).await;
         until("the first file is there", || async { received.load(Ordering::SeqCst) > 0 }).await;
         let mut passed = Vec::new();
-        for round in 0..3 {
+        for call in 0..30 {
             let before = received.load(Ordering::SeqCst);
-            for caller in 0..CALLERS {
-                let id = format!("stock-{round}-{caller}");
-                let answer = deployment.call(caller, &id, "/stock/x", None).await;
-                assert_eq!(answer.status, StatusCode::OK);
-            }
+            let id = format!("stock-{call}");
+            let answer = deployment.call(call % CALLERS, &id, "/stock/x", None).await;
+            assert_eq!(answer.status, StatusCode::OK);
             passed.push(received.load(Ordering::SeqCst) - before);
         }
-        // Ten in a row take as long as a few files at most.
-        assert!(passed.iter().all(|count| *count <= CALLERS / 2), "{passed:?}");
+        // Two files take 0.7 s, which one short answer may take on a busy machine.
+        assert!(passed.iter().all(|count| *count <= 2), "{passed:?}");
     });
 }
 
