--- a/crates/sidecar/tests/nodes/standin/mod.rs
+++ b/crates/sidecar/tests/nodes/standin/mod.rs
@@ -191,6 +191,7 @@
 pub(crate) struct Deployment {
     pub(crate) store: Arc<store::MemoryStore>,
     pub(crate) hosts: Vec<Host>,
+    format: Arc<StandInFormat>,
 }
 
 /// An answer to a caller.
@@ -230,41 +231,51 @@
             },
             config: Mutex::new(fleet_config()),
         });
-        let mut hosts = Vec::new();
-        for (index, service) in services.iter().enumerate() {
-            let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-            let worker = worker::StandInWorker::start(&format!("w{index}"), service).await;
-            let mut settings = settings::SidecarSettings {
-                node: format!("node-{index}").into(),
-                zone: Arc::from("zone"),
-                service: Arc::from(*service),
-                worker: worker.address,
-                callers: any,
-                peers: any,
-                readiness: any,
-                reports: any,
-                metrics: None,
-                link_bytes_per_second: LINK_RATE,
-                longest_hold: Duration::from_secs(10),
-                grace: Duration::from_secs(20),
-                drain: Duration::from_secs(2),
-                repeats: budget::RepeatAllowance {
-                    ratio: 1.0,
-                    window: Duration::from_secs(10),
-                    slack: 1_000.0,
-                },
-            };
-            adjust(&mut settings);
-            let edge = edge::NodeEdge {
-                store: Arc::clone(&store) as _,
-                format: Arc::clone(&format) as _,
-                metrics: String::new,
-            };
-            let node = node::SidecarNode::start(settings, edge).await.unwrap();
-            worker.report_to(node.addresses.reports);
-            hosts.push(Host { node, worker });
+        let mut deployment = Deployment { store, hosts: Vec::new(), format };
+        for service in services {
+            deployment.add_host(service, &adjust).await;
         }
-        Deployment { store, hosts }
+        deployment
+    }
+
+    /// Starts one more node with a worker.
+    pub(crate) async fn add_host(
+        &mut self,
+        service: &str,
+        adjust: impl Fn(&mut settings::SidecarSettings),
+    ) {
+        let index = self.hosts.len();
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let worker = worker::StandInWorker::start(&format!("w{index}"), service).await;
+        let mut settings = settings::SidecarSettings {
+            node: format!("node-{index}").into(),
+            zone: Arc::from("zone"),
+            service: Arc::from(service),
+            worker: worker.address,
+            callers: any,
+            peers: any,
+            readiness: any,
+            reports: any,
+            metrics: None,
+            link_bytes_per_second: LINK_RATE,
+            longest_hold: Duration::from_secs(10),
+            grace: Duration::from_secs(20),
+            drain: Duration::from_secs(2),
+            repeats: budget::RepeatAllowance {
+                ratio: 1.0,
+                window: Duration::from_secs(10),
+                slack: 1_000.0,
+            },
+        };
+        adjust(&mut settings);
+        let edge = edge::NodeEdge {
+            store: Arc::clone(&self.store) as _,
+            format: Arc::clone(&self.format) as _,
+            metrics: String::new,
+        };
+        let node = node::SidecarNode::start(settings, edge).await.unwrap();
+        worker.report_to(node.addresses.reports);
+        self.hosts.push(Host { node, worker });
     }
 
     /// Writes a version of the configuration.
@@ -297,6 +308,11 @@
         call_at(address, id.to_owned(), path, key).await
     }
 
+    /// How often workers ended.
+    pub(crate) fn ends(&self) -> usize {
+        self.hosts.iter().map(|host| host.worker.ends()).sum()
+    }
+
     /// How often the workers ran a request.
     pub(crate) fn runs(&self, id: &str) -> usize {
         self.hosts.iter().map(|host| host.worker.runs(id)).sum()
--- a/crates/sidecar/tests/nodes/standin/worker.rs
+++ b/crates/sidecar/tests/nodes/standin/worker.rs
@@ -2,14 +2,14 @@
 
 use std::collections::HashMap;
 use std::convert::Infallible;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
 use event_listener::Event;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, stream};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future, stream};
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
@@ -20,6 +20,10 @@
 use super::{StandInReply, StandInReport, script, send};
 
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Time from the end of a worker to its next start.
+const DOWN_TIME: Duration = Duration::from_millis(600);
+/// Last segment of the paths of requests that end each worker that begins to run them.
+const ENDING_SEGMENT: &str = "/ends-workers";
 const TRICKLE_PAUSE: Duration = Duration::from_millis(50);
 /// A piece of an answer without end.
 const FLOOD: Bytes = Bytes::from_static(&[b'.'; 64 * 1024]);
@@ -68,6 +72,19 @@
     is_leaving: AtomicBool,
     floods: AtomicUsize,
     begun_floods: AtomicUsize,
+    /// Number of the present start; 0 while the worker is down.
+    life: AtomicU64,
+    ended: Event,
+    /// How often the worker ended.
+    ends: AtomicUsize,
+}
+
+/// An address of its own for each worker, so that its port stays free while it is down.
+fn own_address() -> Ipv4Addr {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let [high, low] = (std::process::id() as u16).to_be_bytes();
+    let number = NEXT.fetch_add(1, Ordering::Relaxed) % 250;
+    Ipv4Addr::new(127, high.saturating_add(1), low, number as u8 + 1)
 }
 
 /// A worker.
@@ -79,7 +96,7 @@
 
 impl StandInWorker {
     pub(crate) async fn start(id: &str, service: &str) -> StandInWorker {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let listener = TcpListener::bind((own_address(), 0)).await.unwrap();
         let address = listener.local_addr().unwrap();
         let state = Arc::new(WorkerState {
             id: id.to_owned(),
@@ -93,36 +110,64 @@
             is_leaving: AtomicBool::new(false),
             floods: AtomicUsize::new(0),
             begun_floods: AtomicUsize::new(0),
+            life: AtomicU64::new(1),
+            ended: Event::new(),
+            ends: AtomicUsize::new(0),
         });
         let worker = StandInWorker { address, state };
-        let serving = worker.clone();
-        smol::spawn(async move {
-            loop {
-                let (stream, _) = listener.accept().await.unwrap();
-                let worker = serving.clone();
-                let service = hyper::service::service_fn(move |request| {
-                    let worker = worker.clone();
-                    async move { worker.run(request).await }
-                });
-                let flooding = serving.clone();
-                smol::spawn(async move {
-                    if flooding.behaviour() == Behaviour::Script {
-                        return script::serve(&flooding, stream).await;
-                    }
-                    if let Some(piece) = flooding.raw_flood() {
-                        return flooding.flood(stream, piece).await;
-                    }
-                    let io = FuturesIo::new(stream);
-                    let builder = hyper::server::conn::http1::Builder::new();
-                    let _ = builder.serve_connection(io, service).await;
-                })
-                .detach();
-            }
-        })
-        .detach();
+        smol::spawn(worker.clone().live(listener)).detach();
         worker
     }
 
+    /// Serves, ends and starts again until the test ends.
+    async fn live(self, mut listener: TcpListener) {
+        for next in 2.. {
+            let ended = self.state.ended.listen();
+            future::or(self.accept(listener), ended).await;
+            smol::Timer::after(DOWN_TIME).await;
+            listener = TcpListener::bind(self.address).await.unwrap();
+            self.state.life.store(next, Ordering::Relaxed);
+        }
+    }
+
+    async fn accept(&self, listener: TcpListener) {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            let worker = self.clone();
+            let ended = self.state.ended.listen();
+            smol::spawn(async move { future::or(worker.serve(stream), ended).await }).detach();
+        }
+    }
+
+    async fn serve(&self, stream: TcpStream) {
+        if self.behaviour() == Behaviour::Script {
+            return script::serve(self, stream).await;
+        }
+        if let Some(piece) = self.raw_flood() {
+            return self.flood(stream, piece).await;
+        }
+        let worker = self.clone();
+        let service = hyper::service::service_fn(move |request| {
+            let worker = worker.clone();
+            async move { worker.run(request).await }
+        });
+        let io = FuturesIo::new(stream);
+        let builder = hyper::server::conn::http1::Builder::new();
+        let _ = builder.serve_connection(io, service).await;
+    }
+
+    /// The worker ends with all that it runs, and starts again after a while.
+    pub(crate) fn end(&self) {
+        self.state.life.store(0, Ordering::Relaxed);
+        self.state.ends.fetch_add(1, Ordering::Relaxed);
+        self.state.ended.notify(usize::MAX);
+    }
+
+    /// How often the worker ended.
+    pub(crate) fn ends(&self) -> usize {
+        self.state.ends.load(Ordering::Relaxed)
+    }
+
     /// Reports to an address until the test ends.
     pub(crate) fn report_to(&self, address: SocketAddr) {
         let worker = self.clone();
@@ -136,9 +181,13 @@
     }
 
     async fn report(&self, address: SocketAddr, sequence: u64) {
+        let life = self.state.life.load(Ordering::Relaxed);
+        if life == 0 {
+            return;
+        }
         let report = StandInReport {
             id: self.state.id.clone(),
-            born: 1,
+            born: life,
             sequence,
             service: self.state.service.clone(),
             address: self.address,
@@ -244,6 +293,10 @@
         }
         let released = self.state.released.listen();
         self.note_run(&id);
+        if request.uri().path().ends_with(ENDING_SEGMENT) {
+            self.end();
+            return future::pending().await;
+        }
         match behaviour {
             Behaviour::Answer | Behaviour::Shed => Ok(whole(&request, &id)),
             // Connections from before begin anew and are then flooded.
