Tell which requests a worker ran when it ended

The node beside a worker looked once whether it still listens, and forgot what ran. Change: a ledger of what the worker runs and of what broke off (policy, runs); a line and a counter for each incarnation that ends while it runs requests, with the fingerprints; worker-ended as a cause of its own. A request that broke off is answered after up to three looks, 10 ms apart, shared by all that broke off together. No decision has changed but that a repeat leaves after these looks. Ruled out: one look; a process that ends may close its connections before its port.

--- a/crates/fleet/src/grant.rs
+++ b/crates/fleet/src/grant.rs
@@ -160,6 +160,11 @@
         self.worker.as_ref().filter(|known| !known.has_ended).map(|known| &known.report)
     }
 
+    /// The incarnation that reported last, also one that has ended.
+    pub fn last_incarnation(&self) -> Option<&member::WorkerName> {
+        self.worker.as_ref().map(|known| &known.report.name)
+    }
+
     /// Whether the worker reports, so that it can be granted keys.
     pub fn is_reporting(&self, now: time::Instant) -> bool {
         self.silence(now) < REPORTING_SILENCE
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod quarantine;
 mod queue;
 pub mod retry;
+pub mod runs;
 pub mod selection;
 mod service;
 mod suspects;
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -4,6 +4,7 @@
 
 use cornelridge_model::ident;
 use cornelridge_model::time;
+use derive_more::Display;
 
 /// How long a request is refused after its second crash, and how long a suspect is remembered.
 pub const QUARANTINE: time::Duration = time::Duration::from_secs(600);
@@ -11,7 +12,8 @@
 pub const MAX_ENTRIES: usize = 4_096;
 
 /// Hash of what makes two requests the same work: class, method, path, key and short bodies.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[display("{_0:016x}")]
 pub struct RequestFingerprint(pub u64);
 
 /// One crash of one upstream, named so that every node counts it once.
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -141,22 +141,22 @@
                 return Err(RequestFailure::not_run(FailureCause::CallerLeft));
             }
             let http = self.http_request(request, worker)?;
+            self.side.note_sent(&permit, worker, request.fingerprint);
             let end = request.deadline + WORKER_GRACE;
             match clock::before(end, connection.send(http)).await {
                 Some(Ok(response)) => {
-                    return self.answer(request, permit, connection, response).await;
+                    return self.answer(request, worker, permit, connection, response).await;
                 }
-                Some(Err(connections::ExchangeError::NotSent)) => {}
+                Some(Err(connections::ExchangeError::NotSent)) => permit.not_run(),
                 Some(Err(connections::ExchangeError::Broken(reason))) => {
                     log::warn!(
                         request:% = request.id, worker:% = worker, reason:% = reason,
-                        is_reused = connection.is_reused,
+                        is_reused = connection.is_reused, fingerprint:% = request.fingerprint,
                         age_us = clock::now().since(permit.started()).0;
                         "the worker broke off before its answer"
                     );
-                    let side = Arc::clone(&self.side);
-                    smol::spawn(async move { side.check_listening().await }).detach();
-                    return Err(RequestFailure::unknown(FailureCause::WorkerBrokeOff));
+                    drop(permit);
+                    return Err(self.broke_off(worker).await);
                 }
                 None => {
                     return Err(RequestFailure::unknown(FailureCause::DeadlinePassed));
@@ -166,6 +166,14 @@
         Err(RequestFailure::not_run(FailureCause::WorkerRefuses))
     }
 
+    /// Why a worker broke off.
+    async fn broke_off(&self, worker: &member::WorkerName) -> RequestFailure {
+        match self.side.has_ended(worker).await {
+            true => RequestFailure::unknown(FailureCause::WorkerEnded),
+            false => RequestFailure::unknown(FailureCause::WorkerBrokeOff),
+        }
+    }
+
     async fn connect(
         &self,
         request: &request::FleetRequest,
@@ -207,6 +215,7 @@
     async fn answer(
         &self,
         request: &request::FleetRequest,
+        worker: &member::WorkerName,
         permit: worker::SlotPermit,
         connection: connections::PooledConnection,
         response: Response<body::Incoming>,
@@ -241,7 +250,7 @@
         if let Err(error) = body.read_ahead().await {
             log::warn!(request:% = request.id, error:% = error; "answer broke off");
             self.side.pool.distrust();
-            return Err(RequestFailure::unknown(FailureCause::WorkerBrokeOff));
+            return Err(self.broke_off(worker).await);
         }
         let spent = time::Duration::ZERO;
         Ok(answer::WorkerAnswer { status: parts.status, headers: parts.headers, body, load, spent })
@@ -280,6 +289,7 @@
         (StatusCode::MISDIRECTED_REQUEST, None) => FailureCause::WorkerGone,
         _ => FailureCause::WorkerFull,
     };
+    permit.not_run();
     match cause {
         FailureCause::WorkerFull => permit.shed(),
         _ => permit.finish(false),
--- a/crates/sidecar/src/failure.rs
+++ b/crates/sidecar/src/failure.rs
@@ -55,6 +55,9 @@
     /// The worker broke off.
     #[display("worker-broke-off")]
     WorkerBrokeOff,
+    /// The worker has ended while it ran the request.
+    #[display("worker-ended")]
+    WorkerEnded,
     /// The worker sent something that isn't the answer to this request.
     #[display("wrong-answer")]
     WrongAnswer,
@@ -156,7 +159,7 @@
 }
 
 /// Causes that one node reports to another.
-const CAUSES: [FailureCause; 12] = [
+const CAUSES: [FailureCause; 13] = [
     FailureCause::WorkerGone,
     FailureCause::WorkerLeaving,
     FailureCause::NodeStopping,
@@ -165,6 +168,7 @@
     FailureCause::WorkerFull,
     FailureCause::WorkerRefuses,
     FailureCause::WorkerBrokeOff,
+    FailureCause::WorkerEnded,
     FailureCause::WrongAnswer,
     FailureCause::DeadlinePassed,
     FailureCause::CrashesWorkers,
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -6,6 +6,7 @@
 use cornelridge_fleet::config;
 use cornelridge_fleet::link;
 use cornelridge_model::time;
+use cornelridge_policy::quarantine;
 use cornelridge_wire::headers;
 use futures_lite::stream;
 use http::{HeaderMap, HeaderValue, Request, Response, header};
@@ -238,8 +239,9 @@
     clock::before(deadline, read).await.unwrap_or_else(late)
 }
 
-fn fingerprint(path: &str, body: &[u8]) -> u64 {
-    xxh3::xxh3_64_with_seed(body, xxh3::xxh3_64(path.as_bytes()))
+fn fingerprint(path: &str, body: &[u8]) -> quarantine::RequestFingerprint {
+    let hash = xxh3::xxh3_64_with_seed(body, xxh3::xxh3_64(path.as_bytes()));
+    quarantine::RequestFingerprint(hash)
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &http::HeaderName) -> &'a str {
--- a/crates/sidecar/src/meter.rs
+++ b/crates/sidecar/src/meter.rs
@@ -46,6 +46,14 @@
 /// Longest of the present round trips to other nodes.
 pub(crate) const PEER_ROUND_TRIP: &str = "cornelridge_peer_round_trip_seconds";
 
+/// Workers beside this node that ended while they ran requests.
+pub(crate) const WORKER_ENDS: &str = "cornelridge_worker_ends_total";
+
+/// Counts a worker that ended while it ran requests.
+pub(crate) fn worker_ended() {
+    metrics::counter!(WORKER_ENDS).increment(1);
+}
+
 /// Counts a refusal of the worker's node.
 pub(crate) fn refused(route: &Arc<str>, reason: gate::RefusalReason) {
     let reason = reason.to_string();
--- a/crates/sidecar/src/reports.rs
+++ b/crates/sidecar/src/reports.rs
@@ -82,7 +82,7 @@
         let sequence = report.sequence;
         let service = Arc::clone(&report.service);
         let before = self.side.desk().worker().map(|known| known.state);
-        let verdict = self.side.desk().report(clock::now(), report);
+        let verdict = self.take(report);
         match verdict {
             grant::ReportVerdict::Stale => {
                 log::info!(worker:% = name; "report ignored: a newer one is known");
@@ -109,6 +109,19 @@
         self.reply(&service, &name, sequence)
     }
 
+    /// Takes over a report. The first one of an incarnation shows that the one before has ended.
+    fn take(&self, report: grant::WorkerReport) -> grant::ReportVerdict {
+        let mut desk = self.side.desk();
+        let earlier = desk.last_incarnation().cloned();
+        let was_leaving = desk.leaving_since().is_some();
+        let verdict = desk.report(clock::now(), report);
+        drop(desk);
+        if let (grant::ReportVerdict::NewWorker, Some(earlier)) = (verdict, earlier) {
+            self.side.note_end(&earlier, was_leaving, "another incarnation reports");
+        }
+        verdict
+    }
+
     /// Waits until the worker is to hold something else than it does, but not for long.
     async fn await_change(&self, service: &str, worker: &member::WorkerName, sequence: u64) {
         let end = clock::now() + ANSWER_WAIT;
--- a/crates/sidecar/src/request.rs
+++ b/crates/sidecar/src/request.rs
@@ -6,6 +6,7 @@
 use cornelridge_fleet::gate;
 use cornelridge_fleet::member;
 use cornelridge_model::time;
+use cornelridge_policy::quarantine;
 use cornelridge_wire::{generated, headers};
 use http::{HeaderMap, Method};
 
@@ -49,7 +50,7 @@
     /// Whether a worker made it for a request that it runs.
     pub is_call: bool,
     /// Hash of what makes two requests the same work.
-    pub fingerprint: u64,
+    pub fingerprint: quarantine::RequestFingerprint,
 }
 
 impl FleetRequest {
@@ -88,7 +89,7 @@
             priority: u32::from(self.priority),
             has_body: !self.body.is_empty(),
             age_us: now.since(self.arrived).0,
-            fingerprint: self.fingerprint,
+            fingerprint: self.fingerprint.0,
             host: self.host.to_string(),
             is_call: self.is_call,
         }
@@ -124,7 +125,7 @@
             is_local: false,
             priority: u8::try_from(wire.priority).ok()?,
             is_call: wire.is_call,
-            fingerprint: wire.fingerprint,
+            fingerprint: quarantine::RequestFingerprint(wire.fingerprint),
         };
         Some((request, worker))
     }
--- a/crates/sidecar/src/worker.rs
+++ b/crates/sidecar/src/worker.rs
@@ -11,12 +11,17 @@
 use cornelridge_fleet::link;
 use cornelridge_fleet::member;
 use cornelridge_fleet::tenure;
+use cornelridge_model::ident;
 use cornelridge_model::time;
+use cornelridge_policy::quarantine;
+use cornelridge_policy::runs;
 use cornelridge_wire::generated;
 use event_listener::{Event, EventListener};
 use futures_lite::future;
 use smol::channel;
+use smol::lock::Mutex as AsyncMutex;
 use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3;
 
 use crate::clock;
 use crate::connections;
@@ -35,6 +40,12 @@
 /// Silence after which a worker is looked at: one missed report.
 const CHECK_SILENCE: time::Duration = time::Duration::from_millis(1_000);
 
+/// Pause between two looks whether a worker that broke off still listens: a process that ends may
+/// close its connections a moment before its port.
+const END_LOOK_PAUSE: time::Duration = time::Duration::from_millis(10);
+/// Looks before a worker that broke off counts as going on.
+const END_LOOKS: u32 = 3;
+
 /// What a waiting request is told.
 type Verdict = Result<(), gate::GateRefusal>;
 
@@ -57,6 +68,10 @@
     waiting: Mutex<HashMap<gate::GateKey, channel::Sender<Verdict>>>,
     /// Identifiers of the requests at the worker, and how many there are of each.
     running: Mutex<HashMap<Arc<str>, usize>>,
+    /// What the worker runs, for the case that it ends.
+    runs: Mutex<runs::RunLedger>,
+    /// When the last looks whether the worker had ended began; held during them.
+    looked: AsyncMutex<time::Instant>,
     next_key: AtomicU64,
     /// Whether the node takes no more requests for the worker.
     is_closed: AtomicBool,
@@ -95,6 +110,8 @@
             heat: Mutex::new(heat::KeyHeat::new(now)),
             waiting: Mutex::default(),
             running: Mutex::default(),
+            runs: Mutex::new(runs::RunLedger::new()),
+            looked: AsyncMutex::new(time::Instant(0)),
             next_key: AtomicU64::new(1),
             is_closed: AtomicBool::new(false),
             end,
@@ -327,12 +344,70 @@
         }
     }
 
-    /// Connects to the worker once to see whether it has ended.
-    pub(crate) async fn check_listening(&self) {
-        match connections::is_listening(self.address).await {
+    /// Connects to the worker once to see whether it has ended; `false` if it refuses connections.
+    async fn check_listening(&self) -> bool {
+        let is_listening = connections::is_listening(self.address).await;
+        match is_listening {
             true => self.desk().accepted(),
             false => self.note_refused(),
         }
+        is_listening
+    }
+
+    /// Whether an incarnation that broke off a request has ended. Requests that broke off together
+    /// share the looks.
+    pub(crate) async fn has_ended(&self, worker: &member::WorkerName) -> bool {
+        let broke_off = clock::now();
+        let incarnation = incarnation_of(worker);
+        let mut looked = self.looked.lock().await;
+        if lock(&self.runs).has_ended(incarnation) {
+            return true;
+        }
+        if *looked > broke_off {
+            return false;
+        }
+        *looked = clock::now();
+        for look in 0..END_LOOKS {
+            if look > 0 {
+                clock::sleep(END_LOOK_PAUSE).await;
+            }
+            if !self.check_listening().await {
+                let is_leaving = self.desk().leaving_since().is_some();
+                self.note_end(worker, is_leaving, "it refuses connections");
+                return lock(&self.runs).has_ended(incarnation);
+            }
+        }
+        false
+    }
+
+    /// An incarnation has ended; notes what it ran unless it was leaving.
+    pub(crate) fn note_end(&self, worker: &member::WorkerName, was_leaving: bool, evidence: &str) {
+        let mut ledger = lock(&self.runs);
+        if was_leaving {
+            return ledger.clear();
+        }
+        let runs = ledger.take_ended(clock::now(), incarnation_of(worker)).unwrap_or_default();
+        drop(ledger);
+        if runs.is_empty() {
+            return;
+        }
+        meter::worker_ended();
+        let fingerprints: Vec<String> = runs.iter().map(ToString::to_string).collect();
+        log::warn!(
+            worker:% = worker, evidence, requests = runs.len(),
+            fingerprints:% = fingerprints.join(" "); "the worker ended while it ran requests"
+        );
+    }
+
+    /// Notes that a request is being sent.
+    pub(crate) fn note_sent(
+        &self,
+        permit: &SlotPermit,
+        worker: &member::WorkerName,
+        fingerprint: quarantine::RequestFingerprint,
+    ) {
+        let (worker, sent) = (incarnation_of(worker), clock::now());
+        lock(&self.runs).sent(permit.run_key(), runs::SentRun { fingerprint, worker, sent });
     }
 
     /// The worker refused a connection, which may show that it has ended.
@@ -344,6 +419,11 @@
     }
 }
 
+/// The number of an incarnation, the same at every node.
+fn incarnation_of(worker: &member::WorkerName) -> ident::IncarnationId {
+    ident::IncarnationId(xxh3::xxh3_64(worker.0.as_bytes()))
+}
+
 /// Completes with a failure when the caller has left.
 pub(crate) async fn caller_left<T>(gone: &CancellationToken) -> Result<T, RequestFailure> {
     gone.cancelled().await;
@@ -367,9 +447,21 @@
         self.started
     }
 
+    fn run_key(&self) -> runs::RunKey {
+        runs::RunKey(self.key.0)
+    }
+
+    /// The worker did not run the request.
+    pub(crate) fn not_run(&self) {
+        lock(&self.side.runs).withdrawn(self.run_key());
+    }
+
     /// The worker has answered.
     pub(crate) fn finish(mut self, is_whole: bool) {
         self.is_over = true;
+        if is_whole {
+            lock(&self.side.runs).answered(self.run_key());
+        }
         let end = match is_whole {
             true => gate::GateEnd::Served(clock::now().since(self.started)),
             false => gate::GateEnd::Failed,
@@ -394,6 +486,7 @@
             }
         }
         drop(running);
+        lock(&self.side.runs).broken(clock::now(), self.run_key());
         if self.is_over {
             return;
         }
