--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -145,7 +145,7 @@
     pub(crate) fn finished(self) {
         if let Some(dispatched) = self.dispatched.get() {
             let cleared = self.context.suspects().completed(*dispatched, self.fingerprint);
-            peers::spread_suspects(&self.context, cleared.into_iter().collect());
+            peers::spread_suspects(&self.context, cleared.as_slice());
         }
         self.set_end(SlotEnd::Finished);
     }
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -215,7 +215,7 @@
         let sequence = link.instance;
         let crash = quarantine::CrashId { node: context.identity.incarnation, sequence };
         let notices = context.suspects().crashed(now, crash, &running);
-        peers::spread_suspects(context, notices);
+        peers::spread_suspects(context, &notices);
     }
     serving::release(context);
     planning::register(context);
--- a/crates/node/src/failure.rs
+++ b/crates/node/src/failure.rs
@@ -244,6 +244,8 @@
             retry_elsewhere: self.is_local_to_node(),
             load: None,
             retry_after_us: 0,
+            // Known beside one worker only.
+            ended_worker: 0,
         }
     }
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -10,7 +10,7 @@
 use cornelridge_wire::generated;
 use cornelridge_wire::generated::control_message::Body;
 use cornelridge_wire::generated::stream_head::Kind;
-use cornelridge_wire::transport;
+use cornelridge_wire::{suspects, transport};
 
 use crate::configuration;
 use crate::context;
@@ -123,69 +123,20 @@
 
 fn merge_suspects(context: &context::NodeContext, notice: &generated::SuspectNotice) {
     let now = context.clock.now();
-    for suspect in &notice.suspects {
-        if let Some(notice) = suspect_from_wire(suspect) {
-            context.suspects().merge(now, notice);
-        }
-    }
-}
-
-fn suspect_from_wire(suspect: &generated::Suspect) -> Option<quarantine::SuspectNotice> {
-    let fingerprint = quarantine::RequestFingerprint(suspect.fingerprint);
-    let crash = quarantine::CrashId {
-        node: ident::IncarnationId(suspect.crash_node),
-        sequence: suspect.crash_sequence,
-    };
-    match generated::SuspectState::try_from(suspect.state).ok()? {
-        generated::SuspectState::SuspectInFlight => {
-            Some(quarantine::SuspectNotice::InFlight { fingerprint, crash })
-        }
-        generated::SuspectState::SuspectCleared => {
-            Some(quarantine::SuspectNotice::Cleared { fingerprint, crash })
-        }
-        generated::SuspectState::SuspectRefused => {
-            let remaining = time::Duration(suspect.refused_for_us);
-            Some(quarantine::SuspectNotice::Refused { fingerprint, remaining })
-        }
-    }
-}
-
-fn suspect_to_wire(notice: quarantine::SuspectNotice) -> generated::Suspect {
-    let entry = |state: generated::SuspectState, fingerprint: quarantine::RequestFingerprint| {
-        generated::Suspect {
-            state: state as i32,
-            fingerprint: fingerprint.0,
-            ..generated::Suspect::default()
-        }
-    };
-    match notice {
-        quarantine::SuspectNotice::InFlight { fingerprint, crash } => generated::Suspect {
-            crash_node: crash.node.0,
-            crash_sequence: crash.sequence,
-            ..entry(generated::SuspectState::SuspectInFlight, fingerprint)
-        },
-        quarantine::SuspectNotice::Cleared { fingerprint, crash } => generated::Suspect {
-            crash_node: crash.node.0,
-            crash_sequence: crash.sequence,
-            ..entry(generated::SuspectState::SuspectCleared, fingerprint)
-        },
-        quarantine::SuspectNotice::Refused { fingerprint, remaining } => generated::Suspect {
-            refused_for_us: remaining.as_micros(),
-            ..entry(generated::SuspectState::SuspectRefused, fingerprint)
-        },
+    for notice in suspects::from_wire(notice) {
+        context.suspects().merge(now, notice);
     }
 }
 
 /// Sends facts about requests that crash upstreams to all members of the region.
 pub(crate) fn spread_suspects(
     context: &Arc<context::NodeContext>,
-    notices: Vec<quarantine::SuspectNotice>,
+    notices: &[quarantine::SuspectNotice],
 ) {
     if notices.is_empty() {
         return;
     }
-    let suspects = notices.into_iter().map(suspect_to_wire).collect();
-    let kind = Some(Kind::SuspectNotice(generated::SuspectNotice { suspects }));
+    let kind = Some(Kind::SuspectNotice(suspects::to_wire(notices)));
     let head = Arc::new(generated::StreamHead { kind });
     let own = context.identity.incarnation;
     for member in &context.assignment().members {
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -10,6 +10,11 @@
 pub const QUARANTINE: time::Duration = time::Duration::from_secs(600);
 /// Most fingerprints that are remembered.
 pub const MAX_ENTRIES: usize = 4_096;
+/// Age up to which a run that ended well shows that a request crashes nothing: popular requests run
+/// all the time and beside every crash.
+pub const SERVED_TERM: time::Duration = time::Duration::from_secs(3);
+/// Most requests that ended well that are remembered; more than an upstream ends in that time.
+const MAX_SERVED: usize = 8_192;
 
 /// Hash of what makes two requests the same work: class, method, path, key and short bodies.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -63,6 +68,11 @@
         /// The crash.
         crash: CrashId,
     },
+    /// It completes all the time, so that it was in flight at crashes by chance.
+    Served {
+        /// The request.
+        fingerprint: RequestFingerprint,
+    },
 }
 
 /// The worker that runs a suspect of a class that any worker may serve.
@@ -102,6 +112,8 @@
 #[derive(Debug, Default)]
 pub struct SuspectRegistry {
     entries: HashMap<RequestFingerprint, SuspectState>,
+    /// When the last run of a request that ended well was dispatched.
+    served: HashMap<RequestFingerprint, time::Instant>,
 }
 
 impl SuspectRegistry {
@@ -111,6 +123,7 @@
     }
 
     /// Records the requests in flight at a crash and returns the notices for the other nodes.
+    /// Requests that ended well a moment ago aren't suspects.
     pub fn crashed(
         &mut self,
         now: time::Instant,
@@ -119,6 +132,9 @@
     ) -> Vec<SuspectNotice> {
         let mut notices = Vec::with_capacity(in_flight.len());
         for &fingerprint in in_flight {
+            if self.is_served(now, fingerprint) {
+                continue;
+            }
             self.add(now, fingerprint, crash);
             notices.push(SuspectNotice::InFlight { fingerprint, crash });
             if let SuspectDecision::Refuse { remaining } = self.decide(now, fingerprint) {
@@ -136,6 +152,7 @@
         dispatched: time::Instant,
         fingerprint: RequestFingerprint,
     ) -> Option<SuspectNotice> {
+        self.note_served(dispatched, fingerprint);
         match self.entries.get(&fingerprint).copied() {
             Some(SuspectState::Suspect { crash, since }) if dispatched >= since => {
                 self.entries.remove(&fingerprint);
@@ -153,6 +170,21 @@
                 self.refuse(now, fingerprint, now + remaining.min(QUARANTINE))
             }
             SuspectNotice::Cleared { fingerprint, crash } => self.clear(fingerprint, crash),
+            SuspectNotice::Served { fingerprint } => self.entries.remove(&fingerprint).is_some(),
+        }
+    }
+
+    /// What this node knows against a notice of another one: the request ended well here a moment
+    /// ago. The other node passes it on.
+    pub fn objection(&self, now: time::Instant, notice: SuspectNotice) -> Option<SuspectNotice> {
+        match notice {
+            SuspectNotice::InFlight { fingerprint, .. }
+            | SuspectNotice::Refused { fingerprint, .. }
+                if self.is_served(now, fingerprint) =>
+            {
+                Some(SuspectNotice::Served { fingerprint })
+            }
+            _ => None,
         }
     }
 
@@ -169,6 +201,14 @@
         }
     }
 
+    /// The crash at which a suspect was in flight.
+    pub fn crash_of(&self, fingerprint: RequestFingerprint) -> Option<CrashId> {
+        match self.entries.get(&fingerprint)? {
+            SuspectState::Suspect { crash, .. } => Some(*crash),
+            SuspectState::Refused { .. } => None,
+        }
+    }
+
     /// Everything in force, for a node that has just joined.
     pub fn notices(&self, now: time::Instant) -> Vec<SuspectNotice> {
         let live = self.entries.iter().filter(|(_, state)| state.expiry() > now);
@@ -181,9 +221,24 @@
         .collect()
     }
 
-    /// Forgets what has expired; call it about every second.
-    pub fn tick(&mut self, now: time::Instant) {
-        self.entries.retain(|_, state| state.expiry() > now);
+    /// The refused requests, with the time until they are accepted again.
+    pub fn refusals(
+        &self,
+        now: time::Instant,
+    ) -> impl Iterator<Item = (RequestFingerprint, time::Duration)> {
+        self.entries.iter().filter_map(move |(&fingerprint, state)| match state {
+            SuspectState::Refused { until } if *until > now => {
+                Some((fingerprint, until.since(now)))
+            }
+            _ => None,
+        })
+    }
+
+    /// Forgets what has expired, and returns it; call it about every second.
+    pub fn tick(&mut self, now: time::Instant) -> Vec<RequestFingerprint> {
+        self.served.retain(|_, dispatched| now.since(*dispatched) < SERVED_TERM);
+        let expired = self.entries.extract_if(|_, state| state.expiry() <= now);
+        expired.map(|(fingerprint, _)| fingerprint).collect()
     }
 
     /// Number of remembered fingerprints.
@@ -196,7 +251,25 @@
         self.entries.is_empty()
     }
 
+    fn note_served(&mut self, dispatched: time::Instant, fingerprint: RequestFingerprint) {
+        if self.served.len() >= MAX_SERVED {
+            self.served.retain(|_, known| dispatched.since(*known) < SERVED_TERM);
+        }
+        if self.served.len() < MAX_SERVED {
+            let known = self.served.entry(fingerprint).or_insert(dispatched);
+            *known = (*known).max(dispatched);
+        }
+    }
+
+    fn is_served(&self, now: time::Instant, fingerprint: RequestFingerprint) -> bool {
+        let dispatched = self.served.get(&fingerprint);
+        dispatched.is_some_and(|dispatched| now.since(*dispatched) < SERVED_TERM)
+    }
+
     fn add(&mut self, now: time::Instant, fingerprint: RequestFingerprint, crash: CrashId) -> bool {
+        if self.is_served(now, fingerprint) {
+            return false;
+        }
         let known = self.entries.get(&fingerprint).copied();
         match known.filter(|state| state.expiry() > now) {
             Some(SuspectState::Suspect { crash: first, .. }) if first == crash => false,
@@ -212,6 +285,9 @@
         fingerprint: RequestFingerprint,
         until: time::Instant,
     ) -> bool {
+        if self.is_served(now, fingerprint) {
+            return false;
+        }
         match self.entries.get(&fingerprint) {
             Some(SuspectState::Refused { until: known }) if *known >= until || until <= now => {
                 false
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -159,3 +159,63 @@
         .seed(seed << 32 | 64);
     }
 }
+
+/// Guards against refusing a popular request, which runs beside every crash, for ten minutes.
+#[test]
+fn a_request_that_ended_well_a_moment_ago_is_no_suspect() {
+    let mut registry = quarantine::SuspectRegistry::new();
+    registry.completed(NOW, print(1));
+    let soon = NOW + time::Duration::from_millis(500);
+    for number in 1..10 {
+        let notices = registry.crashed(soon, crash(number), &[print(1), print(number + 1)]);
+        assert!(notices.iter().all(|notice| {
+            !matches!(notice, quarantine::SuspectNotice::InFlight { fingerprint, .. }
+                if *fingerprint == print(1))
+        }));
+    }
+    assert_eq!(registry.decide(soon, print(1)), quarantine::SuspectDecision::Pass);
+    assert_eq!(registry.decide(soon, print(2)), quarantine::SuspectDecision::RunAlone);
+    let late = NOW + quarantine::SERVED_TERM;
+    registry.crashed(late, crash(10), &[print(1)]);
+    assert_eq!(registry.decide(late, print(1)), quarantine::SuspectDecision::RunAlone);
+}
+
+/// Guards against refusing a popular request because nodes that have just started saw it at two
+/// crashes: another node objects.
+#[test]
+fn a_node_that_serves_a_request_objects_to_its_refusal() {
+    let mut nodes: Vec<_> = (0..3).map(|_| quarantine::SuspectRegistry::new()).collect();
+    nodes[2].completed(NOW, print(1));
+    let mut notices = nodes[0].crashed(NOW, crash(1), &[print(1), print(2)]);
+    notices.extend(nodes[1].crashed(NOW, crash(2), &[print(1), print(2)]));
+    for node in &mut nodes {
+        notices.iter().for_each(|notice| {
+            node.merge(NOW, *notice);
+        });
+    }
+    assert_eq!(nodes[0].decide(NOW, print(1)), refuse());
+    assert_eq!(nodes[2].decide(NOW, print(1)), quarantine::SuspectDecision::Pass);
+    let objections: Vec<_> =
+        notices.iter().filter_map(|notice| nodes[2].objection(NOW, *notice)).collect();
+    for node in &mut nodes {
+        objections.iter().for_each(|notice| {
+            node.merge(NOW, *notice);
+        });
+        assert_eq!(node.decide(NOW, print(1)), quarantine::SuspectDecision::Pass);
+        assert_eq!(node.decide(NOW, print(2)), refuse());
+    }
+}
+
+/// Guards against unbounded memory for what ended well.
+#[test]
+fn memory_of_served_requests_is_bounded_by_time() {
+    let mut registry = quarantine::SuspectRegistry::new();
+    for value in 0..20_000 {
+        registry.completed(NOW, print(value));
+    }
+    let late = NOW + quarantine::SERVED_TERM;
+    registry.tick(late);
+    registry.completed(late, print(30_000));
+    registry.crashed(late, crash(1), &[print(30_000)]);
+    assert_eq!(registry.decide(late, print(30_000)), quarantine::SuspectDecision::Pass);
+}
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use cornelridge_fleet::member;
 use cornelridge_model::time;
+use cornelridge_policy::quarantine;
 use cornelridge_wire::headers;
 use futures_lite::future;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri, header};
@@ -19,6 +20,7 @@
 use crate::failure::{FailureCause, RequestFailure};
 use crate::meter;
 use crate::request;
+use crate::suspects;
 use crate::view;
 use crate::worker;
 
@@ -53,7 +55,7 @@
     pub(crate) async fn run(
         &self,
         request: request::FleetRequest,
-        worker: member::WorkerName,
+        worker: request::ChosenWorker,
     ) -> Result<answer::WorkerAnswer, RequestFailure> {
         let gone = CancellationToken::new();
         let _left = gone.clone().drop_guard();
@@ -75,17 +77,31 @@
     async fn run_here(
         &self,
         request: &request::FleetRequest,
-        worker: member::WorkerName,
+        worker: request::ChosenWorker,
         gone: &CancellationToken,
     ) -> Result<answer::WorkerAnswer, RequestFailure> {
         let arrived = clock::now();
+        let request::ChosenWorker { name: worker, trial_of } = worker;
+        if let Some(crash) = trial_of {
+            self.view.suspects.merge("request", in_flight(request, crash));
+        }
         self.side.check(&worker, request)?;
         if let Some(key) = request.key {
             self.side.note_key(key);
-            self.await_grant(key, request, &worker, gone).await?;
         }
-        let permit = self.side.admit(request, gone).await?;
-        self.side.check(&worker, request)?;
+        let (_trial, permit) = loop {
+            let trial = self.enter_trial(request, trial_of.is_some(), gone).await?;
+            if let Some(key) = request.key {
+                self.await_grant(key, request, &worker, gone).await?;
+            }
+            let permit = self.side.admit(request, gone).await?;
+            self.side.check(&worker, request)?;
+            // A copy of the request may have ended a worker while this one waited.
+            let is_suspect = self.view.suspects.check(request.fingerprint)?;
+            if trial.is_some() || is_suspect.is_none() {
+                break (trial, permit);
+            }
+        };
         if request.key.is_some_and(|key| !self.side.desk().serves(clock::now(), key)) {
             return Err(RequestFailure::not_run(FailureCause::KeyNotHeld));
         }
@@ -98,6 +114,21 @@
         Ok(answer)
     }
 
+    /// Waits for the turn of a request that may end workers. Only the holder of its key, or the
+    /// worker that was chosen for it, tries it.
+    async fn enter_trial(
+        &self,
+        request: &request::FleetRequest,
+        is_trial: bool,
+        gone: &CancellationToken,
+    ) -> Result<Option<worker::TrialPermit>, RequestFailure> {
+        let Some(crash) = self.view.suspects.check(request.fingerprint)? else { return Ok(None) };
+        if is_trial || request.key.is_some() {
+            return self.side.enter_trial(request, gone).await;
+        }
+        Err(RequestFailure::not_run(FailureCause::Suspect).with_crash(crash))
+    }
+
     /// Waits until the worker holds a key; not for long if another one owns it.
     async fn await_grant(
         &self,
@@ -169,7 +200,10 @@
     /// Why a worker broke off.
     async fn broke_off(&self, worker: &member::WorkerName) -> RequestFailure {
         match self.side.has_ended(worker).await {
-            true => RequestFailure::unknown(FailureCause::WorkerEnded),
+            true => {
+                let crash = suspects::crash_of(suspects::incarnation_of(worker));
+                RequestFailure::unknown(FailureCause::WorkerEnded).with_crash(crash)
+            }
             false => RequestFailure::unknown(FailureCause::WorkerBrokeOff),
         }
     }
@@ -257,6 +291,14 @@
     }
 }
 
+/// The request ran when a worker ended.
+pub(crate) fn in_flight(
+    request: &request::FleetRequest,
+    crash: quarantine::CrashId,
+) -> quarantine::SuspectNotice {
+    quarantine::SuspectNotice::InFlight { fingerprint: request.fingerprint, crash }
+}
+
 /// Says how far a request got whose caller left.
 fn note_left(
     request: &request::FleetRequest,
--- a/crates/sidecar/src/failure.rs
+++ b/crates/sidecar/src/failure.rs
@@ -1,6 +1,8 @@
 //! Why a request got no answer of a worker, and what may have happened to it.
 
+use cornelridge_model::ident;
 use cornelridge_model::time;
+use cornelridge_policy::quarantine;
 use cornelridge_wire::generated;
 use http::StatusCode;
 
@@ -70,7 +72,10 @@
     /// The connection to the node beside the worker broke.
     #[display("node-lost")]
     NodeLost,
-    /// The request has crashed workers before.
+    /// The request may end workers, and can't be tried alone in time.
+    #[display("suspect")]
+    Suspect,
+    /// Workers ended under the request; it is refused for a while.
     #[display("crashes-workers")]
     CrashesWorkers,
     /// The caller left.
@@ -89,13 +94,21 @@
     pub reached_worker: bool,
     /// Time after which it may come again; `None` if that isn't known.
     pub retry_after: Option<time::Duration>,
+    /// The end of a worker that ran it, or one like it, if there was one.
+    pub crash: Option<quarantine::CrashId>,
+}
+
+/// The end of an incarnation; 0 is none.
+pub(crate) fn crash_from_wire(incarnation: u64) -> Option<quarantine::CrashId> {
+    let node = ident::IncarnationId(incarnation);
+    (incarnation != 0).then_some(quarantine::CrashId { node, sequence: 0 })
 }
 
 impl RequestFailure {
     /// A request that no worker saw.
     pub fn not_run(cause: FailureCause) -> RequestFailure {
         let state = RunState::NotRun;
-        RequestFailure { cause, state, reached_worker: false, retry_after: None }
+        RequestFailure { cause, state, reached_worker: false, retry_after: None, crash: None }
     }
 
     /// A request that the worker refused to run.
@@ -106,7 +119,7 @@
     /// A request that a worker may have run.
     pub fn unknown(cause: FailureCause) -> RequestFailure {
         let state = RunState::Unknown;
-        RequestFailure { cause, state, reached_worker: true, retry_after: None }
+        RequestFailure { cause, state, reached_worker: true, retry_after: None, crash: None }
     }
 
     /// The same failure with a time to come back.
@@ -114,6 +127,11 @@
         RequestFailure { retry_after: Some(retry_after), ..self }
     }
 
+    /// The same failure with the end of a worker that explains it.
+    pub fn with_crash(self, crash: quarantine::CrashId) -> RequestFailure {
+        RequestFailure { crash: Some(crash), ..self }
+    }
+
     /// Status for the caller.
     pub fn status(&self) -> StatusCode {
         match (self.cause, self.state) {
@@ -138,6 +156,7 @@
             status: u32::from(self.status().as_u16()),
             retry_elsewhere: !self.reached_worker,
             retry_after_us: self.retry_after.unwrap_or_default().0,
+            ended_worker: self.crash.map_or(0, |crash| crash.node.0),
             ..generated::ResponseError::default()
         }
     }
@@ -154,12 +173,13 @@
             state,
             reached_worker: !error.retry_elsewhere,
             retry_after: Some(time::Duration(error.retry_after_us)).filter(|time| time.0 > 0),
+            crash: crash_from_wire(error.ended_worker),
         }
     }
 }
 
 /// Causes that one node reports to another.
-const CAUSES: [FailureCause; 13] = [
+const CAUSES: [FailureCause; 14] = [
     FailureCause::WorkerGone,
     FailureCause::WorkerLeaving,
     FailureCause::NodeStopping,
@@ -171,6 +191,7 @@
     FailureCause::WorkerEnded,
     FailureCause::WrongAnswer,
     FailureCause::DeadlinePassed,
+    FailureCause::Suspect,
     FailureCause::CrashesWorkers,
     FailureCause::BadRequest,
 ];
--- a/crates/sidecar/src/feed.rs
+++ b/crates/sidecar/src/feed.rs
@@ -79,6 +79,11 @@
         self.revision = self.revision.max(events.revision);
     }
 
+    /// Whether there is an item with this key.
+    pub(crate) fn contains(&self, key: &str) -> bool {
+        self.items.contains_key(key)
+    }
+
     /// Revision and epoch.
     fn position(&self) -> (u64, u64) {
         (self.revision, self.epoch)
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -6,6 +6,7 @@
 use cornelridge_fleet::member;
 use cornelridge_fleet::range;
 use cornelridge_model::time;
+use cornelridge_policy::quarantine;
 use cornelridge_store::items;
 use futures_lite::future;
 
@@ -33,6 +34,7 @@
 const MEMBERS: &str = "nodes/";
 const RANGES: &str = "ranges/";
 const LAYOUTS: &str = "layouts/";
+const REFUSALS: &str = "refusals/";
 
 /// Key of a member's entry.
 pub(crate) fn member_key(node: &str) -> Arc<str> {
@@ -49,11 +51,17 @@
     format!("{PREFIX}{LAYOUTS}{service}").into()
 }
 
+/// Key of the refusal of a request.
+pub(crate) fn refusal_key(fingerprint: quarantine::RequestFingerprint) -> Arc<str> {
+    format!("{PREFIX}{REFUSALS}{fingerprint}").into()
+}
+
 /// What a key of the nodes names.
 enum KeyKind<'a> {
     Member(&'a str),
     Range(&'a str, u16),
     Layout(&'a str),
+    Refusal(quarantine::RequestFingerprint),
 }
 
 fn kind_of(key: &str) -> Option<KeyKind<'_>> {
@@ -64,6 +72,10 @@
     if let Some(service) = rest.strip_prefix(LAYOUTS) {
         return Some(KeyKind::Layout(service));
     }
+    if let Some(digits) = rest.strip_prefix(REFUSALS) {
+        let fingerprint = u64::from_str_radix(digits, 16).ok()?;
+        return Some(KeyKind::Refusal(quarantine::RequestFingerprint(fingerprint)));
+    }
     let (service, first) = rest.strip_prefix(RANGES)?.rsplit_once('/')?;
     Some(KeyKind::Range(service, first.parse().ok()?))
 }
@@ -92,6 +104,11 @@
             let ranges = ranges.service_mut(service);
             ranges.layout_revision = ranges.layout_revision.max(item.revision);
         }
+        Some(KeyKind::Refusal(fingerprint)) => {
+            if let Err(error) = view.suspects.take_item(fingerprint, &item.value) {
+                unreadable(error);
+            }
+        }
         None => log::warn!(key:% = item.key; "item ignored: its key isn't known"),
     }
 }
@@ -121,7 +138,8 @@
         Some(KeyKind::Range(service, first)) => {
             view.ranges().service_mut(service).remove(first, revision);
         }
-        Some(KeyKind::Layout(_)) | None => {}
+        // A refusal lasts as long as its first copy said, as leases may lapse in an outage.
+        Some(KeyKind::Layout(_) | KeyKind::Refusal(_)) | None => {}
     }
 }
 
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -8,6 +8,7 @@
 use cornelridge_fleet::member;
 use cornelridge_fleet::route;
 use cornelridge_model::time;
+use cornelridge_policy::quarantine;
 
 use crate::answer;
 use crate::clock;
@@ -16,6 +17,7 @@
 use crate::meter;
 use crate::peers;
 use crate::request;
+use crate::suspects::incarnation_of;
 use crate::view;
 use crate::view::lock;
 
@@ -31,7 +33,7 @@
 /// Where an attempt goes.
 #[derive(Clone, Debug)]
 struct AttemptTarget {
-    worker: member::WorkerName,
+    worker: request::ChosenWorker,
     member: Arc<member::MemberEntry>,
 }
 
@@ -59,6 +61,8 @@
     runs: u32,
     /// Attempts that no worker saw.
     refusals: u32,
+    /// The end of a worker under the request, which the worker of this attempt is to try.
+    trial_of: Option<quarantine::CrashId>,
 }
 
 impl RequestForwarder {
@@ -91,6 +95,7 @@
     ) -> Result<answer::WorkerAnswer, RequestFailure> {
         let mut last = None;
         loop {
+            history.trial_of = self.view.suspects.check(request.fingerprint)?;
             let target = match self.find_target(request, history).await {
                 Ok(target) => target,
                 Err(failure) => return last.unwrap_or(Err(failure)),
@@ -100,12 +105,16 @@
                     .unwrap_or_else(|| Err(RequestFailure::not_run(FailureCause::Overloaded)));
             }
             let result = self.attempt(request, &target).await;
-            history.note(&target.worker, &result);
+            history.note(&target.worker.name, &result);
+            let crash = result.as_ref().err().and_then(|failure| failure.crash);
+            if let Some(crash) = crash {
+                self.view.suspects.merge("attempt", dispatch::in_flight(request, crash));
+            }
             if !self.is_worth_another(request, history, &result, max_attempts) {
                 return result;
             }
             log::info!(
-                request:% = request.id, worker:% = target.worker, service:% = request.service,
+                request:% = request.id, worker:% = target.worker.name, service:% = request.service,
                 outcome:% = answer::describe(&result), arrivals = history.arrivals, runs = history.runs,
                 left_us = request.deadline.since(clock::now()).0;
                 "attempt ended; trying again"
@@ -155,8 +164,12 @@
             | FailureCause::BadRequest
             | FailureCause::DeadlinePassed => return false,
             // Each attempt waits for the holder, so that the target bounds their number.
-            FailureCause::KeyNotHeld => return clock::now() < request.target,
+            FailureCause::KeyNotHeld => {
+                return clock::now() < request.target;
+            }
             _ if history.refusals > MAX_REFUSALS => return false,
+            // Another worker is to try it, unless the one that is to has no turn for it in time.
+            FailureCause::Suspect => return request.key.is_none() && history.trial_of.is_none(),
             _ => {}
         }
         match failure.state {
@@ -197,7 +210,7 @@
             self.pause(request).await;
         }
         loop {
-            match self.holder(request, key) {
+            match self.holder(request, history, key) {
                 Ok(Some(target)) => {
                     let waited = clock::now().since(since).as_secs_f64();
                     metrics::histogram!(meter::UNOWNED_SECONDS).record(waited);
@@ -223,6 +236,7 @@
     fn holder(
         &self,
         request: &request::FleetRequest,
+        history: &AttemptHistory,
         key: u16,
     ) -> Result<Option<AttemptTarget>, RequestFailure> {
         let Some(owner) = self.view.owner_of(&request.service, key) else { return Ok(None) };
@@ -234,7 +248,8 @@
             return Err(RequestFailure::not_run(FailureCause::NodeUnreachable));
         }
         let member = Arc::clone(&member.entry);
-        Ok(Some(AttemptTarget { worker: owner.worker, member }))
+        let worker = request::ChosenWorker { name: owner.worker, trial_of: history.trial_of };
+        Ok(Some(AttemptTarget { worker, member }))
     }
 
     fn candidates(
@@ -265,7 +280,9 @@
         history: &AttemptHistory,
     ) -> Result<AttemptTarget, RequestFailure> {
         let candidates = self.candidates(request, history);
-        let chosen = {
+        let chosen = if history.trial_of.is_some() {
+            self.choose_trial(request, &candidates)
+        } else {
             let chooser = lock(&self.chooser);
             let mut random = lock(&self.random);
             let draw = || random.f64();
@@ -274,7 +291,22 @@
         let none = || RequestFailure::not_run(FailureCause::NoWorker);
         let chosen = chosen.ok_or_else(none)?;
         let member = self.view.directory().get(&chosen.node).map(|known| Arc::clone(&known.entry));
-        Ok(AttemptTarget { worker: chosen.worker, member: member.ok_or_else(none)? })
+        let worker = request::ChosenWorker { name: chosen.worker, trial_of: history.trial_of };
+        Ok(AttemptTarget { worker, member: member.ok_or_else(none)? })
+    }
+
+    /// The worker that tries a request which may end workers: the same one for all its copies, as
+    /// far as it can be reached.
+    fn choose_trial(
+        &self,
+        request: &request::FleetRequest,
+        candidates: &[choice::ChoiceCandidate],
+    ) -> Option<choice::ChoiceCandidate> {
+        let (now, chooser) = (clock::now(), lock(&self.chooser));
+        let reachable = || candidates.iter().filter(|c| !chooser.is_paused(now, &c.worker));
+        let number = |candidate: &choice::ChoiceCandidate| incarnation_of(&candidate.worker);
+        let worker = quarantine::trial_worker(request.fingerprint, reachable().map(number))?;
+        reachable().find(|candidate| number(candidate) == worker).cloned()
     }
 
     async fn attempt(
@@ -283,8 +315,9 @@
         target: &AttemptTarget,
     ) -> Result<answer::WorkerAnswer, RequestFailure> {
         let sent = clock::now();
-        lock(&self.chooser).sent(&target.worker);
-        let mut note = AttemptNote { forwarder: self, worker: &target.worker, is_over: false };
+        let worker = &target.worker.name;
+        lock(&self.chooser).sent(worker);
+        let mut note = AttemptNote { forwarder: self, worker, is_over: false };
         let is_here = target.member.node == self.node;
         let (result, load) = match is_here {
             true => {
@@ -300,16 +333,16 @@
         let mut chooser = lock(&self.chooser);
         let now = clock::now();
         if let Some(load) = load {
-            chooser.hint(now, &target.worker, load.expected, load.sending);
+            chooser.hint(now, worker, load.expected, load.sending);
         }
         if let Ok(answer) = &result {
             let mut way = now.since(sent).saturating_sub(answer.spent);
             if request.is_bulk {
                 way = way.saturating_sub(answer.load.sending);
             }
-            chooser.way(now, &target.worker, request.is_bulk, way);
+            chooser.way(now, worker, request.is_bulk, way);
         }
-        chooser.ended(now, &target.worker, judge(&result));
+        chooser.ended(now, worker, judge(&result));
         drop(chooser);
         result
     }
@@ -348,7 +381,11 @@
         worker: &member::WorkerName,
         result: &Result<answer::WorkerAnswer, RequestFailure>,
     ) {
-        self.tried.push(worker.clone());
+        let cause = result.as_ref().err().map(|failure| failure.cause);
+        // A worker that doesn't try the request may be the one that is chosen to.
+        if cause != Some(FailureCause::Suspect) {
+            self.tried.push(worker.clone());
+        }
         match result {
             Ok(_) => {
                 self.arrivals += 1;
@@ -375,9 +412,11 @@
         | FailureCause::WorkerLeaving
         | FailureCause::NodeStopping
         | FailureCause::WorkerRefuses => choice::ChoiceResult::Unreachable,
-        FailureCause::Overloaded | FailureCause::WorkerFull | FailureCause::KeyNotHeld => {
-            choice::ChoiceResult::Refused
-        }
+        FailureCause::Overloaded
+        | FailureCause::WorkerFull
+        | FailureCause::KeyNotHeld
+        | FailureCause::Suspect
+        | FailureCause::CrashesWorkers => choice::ChoiceResult::Refused,
         FailureCause::CallerLeft => choice::ChoiceResult::Abandoned,
         _ => choice::ChoiceResult::Failed,
     }
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -9,7 +9,7 @@
 use cornelridge_policy::quarantine;
 use cornelridge_wire::headers;
 use futures_lite::stream;
-use http::{HeaderMap, HeaderValue, Request, Response, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, header};
 use http_body_util::{BodyExt, Limited, StreamBody};
 use hyper::body;
 use xxhash_rust::xxh3;
@@ -164,8 +164,8 @@
             route: Arc::clone(&route.name),
             service,
             caller_service: Arc::clone(&self.service),
-            host,
-            fingerprint: fingerprint(&path, &body),
+            host: Arc::clone(&host),
+            fingerprint: fingerprint(&parts.method, &host, &path, &body),
             method: parts.method,
             path,
             headers: parts.headers,
@@ -239,8 +239,15 @@
     clock::before(deadline, read).await.unwrap_or_else(late)
 }
 
-fn fingerprint(path: &str, body: &[u8]) -> quarantine::RequestFingerprint {
-    let hash = xxh3::xxh3_64_with_seed(body, xxh3::xxh3_64(path.as_bytes()));
+/// Callers aren't told apart: no header names them, and the same work ends a worker whoever asks.
+fn fingerprint(
+    method: &Method,
+    host: &str,
+    path: &str,
+    body: &[u8],
+) -> quarantine::RequestFingerprint {
+    let parts = [method.as_str().as_bytes(), host.as_bytes(), path.as_bytes(), body];
+    let hash = parts.iter().fold(0, |seed, part| xxh3::xxh3_64_with_seed(part, seed));
     quarantine::RequestFingerprint(hash)
 }
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -37,5 +37,6 @@
 mod sending;
 mod session;
 mod stopping;
+mod suspects;
 mod view;
 mod worker;
--- a/crates/sidecar/src/meter.rs
+++ b/crates/sidecar/src/meter.rs
@@ -49,6 +49,15 @@
 /// Workers beside this node that ended while they ran requests.
 pub(crate) const WORKER_ENDS: &str = "cornelridge_worker_ends_total";
 
+/// Facts about requests that may end workers that became known here; label `event`, which is
+/// `suspected`, `refused`, `cleared` or `forgotten`.
+pub(crate) const SUSPECTS: &str = "cornelridge_suspects_total";
+
+/// Counts a fact about a request that may end workers.
+pub(crate) fn suspect(event: &'static str) {
+    metrics::counter!(SUSPECTS, "event" => event).increment(1);
+}
+
 /// Counts a worker that ended while it ran requests.
 pub(crate) fn worker_ended() {
     metrics::counter!(WORKER_ENDS).increment(1);
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -34,6 +34,7 @@
 use crate::session;
 use crate::settings;
 use crate::stopping;
+use crate::suspects;
 use crate::view;
 use crate::worker;
 
@@ -141,7 +142,8 @@
         let node = Arc::clone(&settings.node);
         let end = stopping::NodeEnd::default();
         let link = sending::AnswerLink::new(settings.link_bytes_per_second, endpoint.clone());
-        let side = worker::WorkerSide::new(&settings, end.clone(), link);
+        let side =
+            worker::WorkerSide::new(&settings, end.clone(), link, Arc::clone(&view.suspects));
         let side = Arc::new(side);
         let started = SidecarNode {
             view: Arc::clone(&view),
@@ -170,6 +172,7 @@
         let links = peers::PeerLinks { endpoint, view, reached: Arc::default() };
         started.spawn_control(&edge, &side, &links, base, report_listener);
         started.spawn_planning(&edge, &side, &links);
+        started.spawn_suspects(&edge, &links);
         started.spawn_requests(&edge, &side, links, callers, random);
         started.spawn_status(&edge, readiness, metrics_listener);
         Ok(started)
@@ -236,6 +239,18 @@
         .detach();
     }
 
+    fn spawn_suspects(&self, edge: &edge::NodeEdge, links: &peers::PeerLinks) {
+        let keeper = suspects::SuspectKeeper {
+            node: Arc::clone(&self.settings.node),
+            service: Arc::clone(&self.settings.service),
+            store: Arc::clone(&edge.store),
+            view: Arc::clone(&self.view),
+            links: links.clone(),
+        };
+        smol::spawn(keeper.clone().tell_members()).detach();
+        smol::spawn(keeper.keep_items()).detach();
+    }
+
     fn spawn_planning(
         &self,
         edge: &edge::NodeEdge,
--- a/crates/sidecar/src/peers.rs
+++ b/crates/sidecar/src/peers.rs
@@ -9,7 +9,8 @@
 use cornelridge_fleet::link;
 use cornelridge_fleet::member;
 use cornelridge_model::time;
-use cornelridge_wire::{codec, generated, headers, transport};
+use cornelridge_policy::quarantine;
+use cornelridge_wire::{codec, generated, headers, suspects, transport};
 use futures_lite::future;
 use http::StatusCode;
 
@@ -58,7 +59,7 @@
         &self,
         member: &member::MemberEntry,
         request: &request::FleetRequest,
-        worker: &member::WorkerName,
+        worker: &request::ChosenWorker,
     ) -> PeerResult {
         let exchange = self.exchange(member, request, worker);
         let late = || Err(RequestFailure::unknown(FailureCause::DeadlinePassed));
@@ -102,7 +103,7 @@
         &self,
         member: &member::MemberEntry,
         request: &request::FleetRequest,
-        worker: &member::WorkerName,
+        worker: &request::ChosenWorker,
     ) -> Result<PeerResult, RequestFailure> {
         let kind =
             generated::stream_head::Kind::WorkerRequest(request.to_wire(clock::now(), worker));
@@ -181,6 +182,20 @@
         clock::within(CONNECT_PATIENCE, reader.receive::<generated::LoadAnswer>()).await?.ok()?
     }
 
+    /// Tells another node of requests that may end workers; returns its objections, or `None` if it
+    /// can't be reached.
+    pub(crate) async fn tell_suspects(
+        &self,
+        member: &member::MemberEntry,
+        notices: &[quarantine::SuspectNotice],
+    ) -> Option<Vec<quarantine::SuspectNotice>> {
+        let kind = generated::stream_head::Kind::SuspectNotice(suspects::to_wire(notices));
+        let mut reader = self.ask(member, kind).await?;
+        let answer = reader.receive::<generated::SuspectNotice>();
+        let answer = clock::within(CONNECT_PATIENCE, answer).await?.ok()??;
+        Some(suspects::from_wire(&answer))
+    }
+
     fn read_load(&self, load: &generated::WorkerLoad) -> gate::GateLoad {
         self.view.note_version(load.config_version);
         gate::GateLoad {
@@ -223,6 +238,13 @@
                     let (view, side) = (Arc::clone(&links.view), dispatch.side);
                     smol::spawn(feed::serve(view, side, fetch.revision, writer)).detach();
                 }
+                Some(generated::stream_head::Kind::SuspectNotice(notice)) => {
+                    let notices = suspects::from_wire(&notice).into_iter();
+                    let board = &links.view.suspects;
+                    let objections: Vec<_> =
+                        notices.filter_map(|notice| board.merge("peer", notice)).collect();
+                    smol::spawn(answer_suspects(objections, writer)).detach();
+                }
                 _ => log::debug!("a peer opened a stream of a kind that isn't served here"),
             }
         }
@@ -328,6 +350,19 @@
     }
 }
 
+async fn answer_suspects(
+    objections: Vec<quarantine::SuspectNotice>,
+    mut writer: transport::FrameWriter,
+) {
+    let sent = async {
+        writer.queue(&suspects::to_wire(&objections))?;
+        writer.finish().await
+    };
+    if let Err(error) = sent.await {
+        log::debug!(error:% = error; "objections not delivered to another node");
+    }
+}
+
 async fn send_chunks(
     writer: &mut transport::FrameWriter,
     mut data: Bytes,
--- a/crates/sidecar/src/request.rs
+++ b/crates/sidecar/src/request.rs
@@ -10,6 +10,17 @@
 use cornelridge_wire::{generated, headers};
 use http::{HeaderMap, Method};
 
+use crate::failure;
+
+/// The worker for one attempt.
+#[derive(Clone, Debug)]
+pub struct ChosenWorker {
+    /// The worker.
+    pub name: member::WorkerName,
+    /// The end of another worker under this request, if this one was chosen to try it.
+    pub trial_of: Option<quarantine::CrashId>,
+}
+
 /// A request that has a route.
 #[derive(Clone, Debug)]
 pub struct FleetRequest {
@@ -71,13 +82,13 @@
     pub(crate) fn to_wire(
         &self,
         now: time::Instant,
-        worker: &member::WorkerName,
+        worker: &ChosenWorker,
     ) -> generated::WorkerRequest {
         generated::WorkerRequest {
             request_id: self.id.to_string(),
             route: self.route.to_string(),
             service: self.service.to_string(),
-            worker: worker.0.to_string(),
+            worker: worker.name.0.to_string(),
             caller_service: self.caller_service.to_string(),
             method: self.method.to_string(),
             path: self.path.to_string(),
@@ -92,6 +103,7 @@
             fingerprint: self.fingerprint.0,
             host: self.host.to_string(),
             is_call: self.is_call,
+            ended_worker: worker.trial_of.map_or(0, |crash| crash.node.0),
         }
     }
 
@@ -100,8 +112,9 @@
         now: time::Instant,
         wire: generated::WorkerRequest,
         body: Bytes,
-    ) -> Option<(FleetRequest, member::WorkerName)> {
-        let worker = member::WorkerName(wire.worker.into());
+    ) -> Option<(FleetRequest, ChosenWorker)> {
+        let name = member::WorkerName(wire.worker.into());
+        let worker = ChosenWorker { name, trial_of: failure::crash_from_wire(wire.ended_worker) };
         let key = match wire.key {
             Some(key) => Some(u16::try_from(key).ok()?),
             None => None,
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -12,6 +12,7 @@
 
 use crate::feed;
 use crate::meter;
+use crate::suspects;
 
 /// Locks a mutex; a panic elsewhere doesn't make the state unusable.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -46,6 +47,8 @@
     pub(crate) is_read: AtomicBool,
     /// Whether the members and ranges come from another node at present, not from the store.
     pub(crate) is_fed: AtomicBool,
+    /// Requests that may end workers.
+    pub(crate) suspects: Arc<suspects::SuspectBoard>,
     /// Certificates of the members.
     pub(crate) pins: identity::PinSet,
 }
--- a/crates/sidecar/src/worker.rs
+++ b/crates/sidecar/src/worker.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use cornelridge_fleet::gate;
@@ -11,7 +11,6 @@
 use cornelridge_fleet::link;
 use cornelridge_fleet::member;
 use cornelridge_fleet::tenure;
-use cornelridge_model::ident;
 use cornelridge_model::time;
 use cornelridge_policy::quarantine;
 use cornelridge_policy::runs;
@@ -19,9 +18,8 @@
 use event_listener::{Event, EventListener};
 use futures_lite::future;
 use smol::channel;
-use smol::lock::Mutex as AsyncMutex;
+use smol::lock::{Mutex as AsyncMutex, MutexGuardArc};
 use tokio_util::sync::CancellationToken;
-use xxhash_rust::xxh3;
 
 use crate::clock;
 use crate::connections;
@@ -31,6 +29,7 @@
 use crate::sending;
 use crate::settings;
 use crate::stopping;
+use crate::suspects;
 use crate::view::lock;
 
 /// Time between two looks at the queue.
@@ -70,6 +69,12 @@
     running: Mutex<HashMap<Arc<str>, usize>>,
     /// What the worker runs, for the case that it ends.
     runs: Mutex<runs::RunLedger>,
+    /// Requests that may end workers.
+    suspects: Arc<suspects::SuspectBoard>,
+    /// Held by the request that may end the worker and runs now.
+    trial: Arc<AsyncMutex<()>>,
+    /// Requests that hold it or wait for it.
+    trials: AtomicUsize,
     /// When the last looks whether the worker had ended began; held during them.
     looked: AsyncMutex<time::Instant>,
     next_key: AtomicU64,
@@ -95,6 +100,7 @@
         settings: &settings::SidecarSettings,
         end: stopping::NodeEnd,
         link: Arc<sending::AnswerLink>,
+        suspects: Arc<suspects::SuspectBoard>,
     ) -> WorkerSide {
         let now = clock::now();
         let address = settings.worker;
@@ -111,6 +117,9 @@
             waiting: Mutex::default(),
             running: Mutex::default(),
             runs: Mutex::new(runs::RunLedger::new()),
+            suspects,
+            trial: Arc::default(),
+            trials: AtomicUsize::new(0),
             looked: AsyncMutex::new(time::Instant(0)),
             next_key: AtomicU64::new(1),
             is_closed: AtomicBool::new(false),
@@ -358,7 +367,7 @@
     /// share the looks.
     pub(crate) async fn has_ended(&self, worker: &member::WorkerName) -> bool {
         let broke_off = clock::now();
-        let incarnation = incarnation_of(worker);
+        let incarnation = suspects::incarnation_of(worker);
         let mut looked = self.looked.lock().await;
         if lock(&self.runs).has_ended(incarnation) {
             return true;
@@ -374,6 +383,7 @@
             if !self.check_listening().await {
                 let is_leaving = self.desk().leaving_since().is_some();
                 self.note_end(worker, is_leaving, "it refuses connections");
+                self.suspects.await_told().await;
                 return lock(&self.runs).has_ended(incarnation);
             }
         }
@@ -386,7 +396,8 @@
         if was_leaving {
             return ledger.clear();
         }
-        let runs = ledger.take_ended(clock::now(), incarnation_of(worker)).unwrap_or_default();
+        let runs =
+            ledger.take_ended(clock::now(), suspects::incarnation_of(worker)).unwrap_or_default();
         drop(ledger);
         if runs.is_empty() {
             return;
@@ -397,6 +408,28 @@
             worker:% = worker, evidence, requests = runs.len(),
             fingerprints:% = fingerprints.join(" "); "the worker ended while it ran requests"
         );
+        self.suspects.ended(suspects::incarnation_of(worker), &runs);
+    }
+
+    /// Waits until a request that may end the worker is the only such one that runs; `None` if it is
+    /// cleared by then.
+    pub(crate) async fn enter_trial(
+        self: &Arc<WorkerSide>,
+        request: &request::FleetRequest,
+        gone: &CancellationToken,
+    ) -> Result<Option<TrialPermit>, RequestFailure> {
+        let busy = || RequestFailure::not_run(FailureCause::Suspect);
+        let others = self.trials.fetch_add(1, Ordering::Relaxed);
+        let mut permit = TrialPermit { side: Arc::clone(self), turn: None };
+        let expected = self.load(&request.route).expected;
+        let end = clock::now() + expected.saturating_mul(others as u64 + 1);
+        if others > 0 && end > request.target {
+            return Err(busy().with_retry_after(expected));
+        }
+        let turn = async { Ok(clock::before(request.target, self.trial.lock_arc()).await) };
+        let turn = future::or(caller_left(gone), turn).await?;
+        permit.turn = Some(turn.ok_or_else(busy)?);
+        Ok(self.suspects.check(request.fingerprint)?.map(|_| permit))
     }
 
     /// Notes that a request is being sent.
@@ -406,7 +439,7 @@
         worker: &member::WorkerName,
         fingerprint: quarantine::RequestFingerprint,
     ) {
-        let (worker, sent) = (incarnation_of(worker), clock::now());
+        let (worker, sent) = (suspects::incarnation_of(worker), clock::now());
         lock(&self.runs).sent(permit.run_key(), runs::SentRun { fingerprint, worker, sent });
     }
 
@@ -419,17 +452,26 @@
     }
 }
 
-/// The number of an incarnation, the same at every node.
-fn incarnation_of(worker: &member::WorkerName) -> ident::IncarnationId {
-    ident::IncarnationId(xxh3::xxh3_64(worker.0.as_bytes()))
-}
-
 /// Completes with a failure when the caller has left.
 pub(crate) async fn caller_left<T>(gone: &CancellationToken) -> Result<T, RequestFailure> {
     gone.cancelled().await;
     Err(RequestFailure::not_run(FailureCause::CallerLeft))
 }
 
+/// The turn of a request that may end the worker, given back when it is dropped.
+#[derive(Debug)]
+pub(crate) struct TrialPermit {
+    side: Arc<WorkerSide>,
+    turn: Option<MutexGuardArc<()>>,
+}
+
+impl Drop for TrialPermit {
+    fn drop(&mut self) {
+        self.turn = None;
+        self.side.trials.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl SlotPermit {
     fn new(
         side: &Arc<WorkerSide>,
@@ -459,8 +501,9 @@
     /// The worker has answered.
     pub(crate) fn finish(mut self, is_whole: bool) {
         self.is_over = true;
-        if is_whole {
-            lock(&self.side.runs).answered(self.run_key());
+        let run = if is_whole { lock(&self.side.runs).answered(self.run_key()) } else { None };
+        if let Some(run) = run {
+            self.side.suspects.answered(run);
         }
         let end = match is_whole {
             true => gate::GateEnd::Served(clock::now().since(self.started)),
--- a/crates/sidecar/tests/nodes/crashing.rs
+++ b/crates/sidecar/tests/nodes/crashing.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::standin::worker::Behaviour;
 use crate::standin::{Answer, Deployment, call_at, until};
 use futures_lite::future::block_on;
 use http::StatusCode;
@@ -12,10 +13,32 @@
 async fn three_desks() -> Deployment {
     let deployment = Deployment::start(&["desk", "desk", "desk"]).await;
     deployment.configure(1);
-    deployment.settle("/read/x", None).await;
+    settle_pairs(&deployment).await;
     deployment
 }
 
+/// Waits until each node has reached each worker, so that all nodes know one another. The other
+/// workers refuse meanwhile.
+async fn settle_pairs(deployment: &Deployment) {
+    let hosts = 0..deployment.hosts.len();
+    for worker in hosts.clone() {
+        for (index, host) in deployment.hosts.iter().enumerate() {
+            let is_chosen = index == worker;
+            host.worker.behave(if is_chosen { Behaviour::Answer } else { Behaviour::Shed });
+        }
+        for host in hosts.clone() {
+            let mut attempt = 0;
+            until("the node reaches the worker", || {
+                attempt += 1;
+                let id = format!("pair-{host}-{worker}-{attempt}");
+                async move { deployment.call(host, &id, "/read/x", None).await.status == StatusCode::OK }
+            })
+            .await;
+        }
+    }
+    deployment.hosts.iter().for_each(|host| host.worker.behave(Behaviour::Answer));
+}
+
 /// Asks at each node in turn; returns the last answer.
 async fn ask_again(deployment: &Deployment, name: &str, attempts: usize) -> Answer {
     let mut last = None;
@@ -67,3 +90,189 @@
         assert_refused(&last);
     });
 }
+
+/// Guards against a service divided by key that loses each holder of the key in turn.
+#[test]
+fn a_request_for_a_key_that_ends_holders_is_refused_after_the_second_one() {
+    block_on(async {
+        let deployment = Deployment::start(&["prices", "prices", "prices"]).await;
+        deployment.configure(1);
+        deployment.settle("/price/x", Some(7)).await;
+        let mut last = None;
+        for attempt in 0..80 {
+            let id = format!("key-{attempt}");
+            let path = "/price/ends-workers";
+            last = Some(deployment.call(attempt % 3, &id, path, Some(7)).await);
+            smol::Timer::after(PAUSE).await;
+        }
+        let last = last.unwrap();
+        assert!(deployment.ends() <= 2, "{} workers ended, {last:?}", deployment.ends());
+        assert_refused(&last);
+    });
+}
+
+/// Guards against nodes that learn it anew: one that starts later, and one of another service.
+#[test]
+fn nodes_that_start_later_refuse_it_too() {
+    block_on(async {
+        let mut deployment = three_desks().await;
+        ask_again(&deployment, "before", 12).await;
+        let ends = deployment.ends();
+        for service in ["desk", "files"] {
+            deployment.add_host(service, |_| {}).await;
+        }
+        for host in [3, 4] {
+            until("the node serves", || async {
+                deployment.call(host, "first", "/read/x", None).await.status == StatusCode::OK
+            })
+            .await;
+            until("the node knows of it", || async {
+                let answer = deployment.call(host, "known", PATH, None).await;
+                answer.body.contains("crashes-workers")
+            })
+            .await;
+        }
+        assert_eq!(deployment.ends(), ends, "it was sent to a worker again");
+    });
+}
+
+/// Guards against forgetting what was learned while the store was down.
+#[test]
+fn what_was_learned_in_an_outage_of_the_store_lasts() {
+    block_on(async {
+        let mut deployment = three_desks().await;
+        deployment.store.set_down(true);
+        let last = ask_again(&deployment, "outage", 12).await;
+        assert_refused(&last);
+        let ends = deployment.ends();
+        deployment.store.set_down(false);
+        until("the refusal is in the store", || async {
+            deployment.store.count("cornelridge/refusals/") == 1
+        })
+        .await;
+        deployment.add_host("files", |_| {}).await;
+        until("a node that starts later serves", || async {
+            deployment.call(3, "first", "/read/x", None).await.status == StatusCode::OK
+        })
+        .await;
+        assert_refused(&deployment.call(3, "later", PATH, None).await);
+        assert_eq!(deployment.ends(), ends, "it was sent to a worker again");
+    });
+}
+
+/// Answers to requests that end no worker.
+#[derive(Debug, Default)]
+struct Bystanders {
+    served: usize,
+    failed: usize,
+    /// Answers that blame the request.
+    blamed: usize,
+}
+
+impl Bystanders {
+    fn share(&self) -> f64 {
+        self.served as f64 / (self.served + self.failed) as f64
+    }
+}
+
+/// Asks at all nodes, half of the time for one popular path, while one worker of three ends twice
+/// by itself, and another request ends workers if `has_culprit`.
+async fn ask_beside(has_culprit: bool) -> Bystanders {
+    let deployment = three_desks().await;
+    let mut seen = Bystanders::default();
+    for round in 0..100_usize {
+        if round == 30 || round == 70 {
+            deployment.hosts[0].worker.end();
+        }
+        let address = |host: usize| deployment.hosts[host % 3].node.addresses.callers;
+        let mut calls: Vec<_> = (0..6)
+            .map(|call| {
+                let path = match call % 2 {
+                    0 => "/read/popular",
+                    _ => RARE[round % RARE.len()],
+                };
+                smol::spawn(call_at(address(call), format!("{round}-{call}"), path, None))
+            })
+            .collect();
+        if has_culprit && round % 5 == 0 {
+            let culprit = call_at(address(round / 5), format!("culprit-{round}"), PATH, None);
+            smol::spawn(culprit).detach();
+        }
+        for call in calls.drain(..) {
+            let answer = call.await;
+            match answer.status == StatusCode::OK {
+                true => seen.served += 1,
+                false => seen.failed += 1,
+            }
+            seen.blamed += usize::from(answer.body.contains("crashes-workers"));
+        }
+        smol::Timer::after(Duration::from_millis(30)).await;
+    }
+    seen
+}
+
+const RARE: [&str; 5] = ["/read/a", "/read/b", "/read/c", "/read/d", "/read/e"];
+
+/// Guards against refusing what ran beside a request that ends workers, or beside ends that no
+/// request caused.
+#[test]
+fn requests_beside_the_ends_of_workers_are_served() {
+    block_on(async {
+        let (without, with) = (ask_beside(false).await, ask_beside(true).await);
+        assert_eq!((without.blamed, with.blamed), (0, 0), "{without:?}, {with:?}");
+        assert!(with.share() >= 0.9 * without.share(), "{without:?}, {with:?}");
+    });
+}
+
+/// Guards against suspecting requests whose answers are lost by workers that go on.
+#[test]
+fn lost_answers_make_no_suspects() {
+    block_on(async {
+        let deployment = three_desks().await;
+        let behave = |behaviour| {
+            deployment.hosts.iter().for_each(|host| host.worker.behave(behaviour));
+        };
+        behave(Behaviour::Reset);
+        for attempt in 0..6 {
+            let id = format!("lost-{attempt}");
+            let answer = deployment.call(attempt % 3, &id, "/read/lost", None).await;
+            assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{answer:?}");
+        }
+        behave(Behaviour::Answer);
+        for host in 0..3 {
+            let answer = deployment.call(host, "found", "/read/lost", None).await;
+            assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+        }
+    });
+}
+
+/// Guards against suspecting requests that a worker cuts off when it ends as planned.
+#[test]
+fn planned_ends_make_no_suspects() {
+    block_on(async {
+        let deployment = Deployment::start(&["desk", "files"]).await;
+        deployment.configure(1);
+        deployment.settle("/read/x", None).await;
+        let worker = &deployment.hosts[0].worker;
+        let address = deployment.hosts[1].node.addresses.callers;
+        for end in 1..=2 {
+            worker.behave(Behaviour::Hold);
+            let call = smol::spawn(call_at(address, format!("held-{end}"), "/read/held", None));
+            until("the request runs", || async { worker.runs(&format!("held-{end}")) == 1 }).await;
+            worker.leave();
+            until("its leaving is known", || async {
+                deployment.store.has("cornelridge/nodes/node-0", "Draining")
+            })
+            .await;
+            worker.end();
+            call.await;
+            worker.behave(Behaviour::Answer);
+            until("the next incarnation serves", || async {
+                deployment.call(1, "served", "/read/x", None).await.status == StatusCode::OK
+            })
+            .await;
+        }
+        let answer = deployment.call(1, "after", "/read/held", None).await;
+        assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    });
+}
--- a/crates/sidecar/tests/nodes/standin/store.rs
+++ b/crates/sidecar/tests/nodes/standin/store.rs
@@ -130,6 +130,19 @@
         self.state.lock().unwrap().is_silent = is_silent;
     }
 
+    /// Number of items whose keys begin so.
+    pub(crate) fn count(&self, prefix: &str) -> usize {
+        let state = self.state.lock().unwrap();
+        state.items.keys().filter(|key| key.starts_with(prefix)).count()
+    }
+
+    /// Whether the item with this key contains a text.
+    pub(crate) fn has(&self, key: &str, text: &str) -> bool {
+        let state = self.state.lock().unwrap();
+        let value = state.items.get(key).map(|item| String::from_utf8_lossy(&item.value));
+        value.is_some_and(|value| value.contains(text))
+    }
+
     /// Nodes that wait for changes of the items of the nodes.
     pub(crate) fn watching(&self) -> usize {
         self.watching.load(Ordering::Relaxed)
--- a/crates/sidecar/tests/nodes/standin/worker.rs
+++ b/crates/sidecar/tests/nodes/standin/worker.rs
@@ -126,6 +126,7 @@
             future::or(self.accept(listener), ended).await;
             smol::Timer::after(DOWN_TIME).await;
             listener = TcpListener::bind(self.address).await.unwrap();
+            self.state.is_leaving.store(false, Ordering::Relaxed);
             self.state.life.store(next, Ordering::Relaxed);
         }
     }
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -236,6 +236,10 @@
     /// Whether a worker made the request for one that it runs.
     #[prost(bool, tag = "18")]
     pub is_call: bool,
+    /// Incarnation of a worker that ended while it ran such a request, if this worker was chosen to try
+    /// it; 0 otherwise.
+    #[prost(fixed64, tag = "19")]
+    pub ended_worker: u64,
 }
 /// Load of the worker beside the sender.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -346,6 +350,9 @@
     /// Time after which the sender expects to have room, in microseconds; 0 if it doesn't know.
     #[prost(uint64, tag = "9")]
     pub retry_after_us: u64,
+    /// Incarnation of a worker that ended while it ran the request, or one like it; 0 if none did.
+    #[prost(fixed64, tag = "10")]
+    pub ended_worker: u64,
 }
 /// One piece of a body; the last one has `last` set, so that a cut stream is told from a whole one.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -430,6 +437,8 @@
     #[prost(bool, tag = "3")]
     pub complete: bool,
 }
+/// Facts about requests that may crash workers; nodes beside one worker answer with one that holds
+/// their objections.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SuspectNotice {
     #[prost(message, repeated, tag = "1")]
@@ -712,6 +721,8 @@
     SuspectInFlight = 0,
     SuspectRefused = 1,
     SuspectCleared = 2,
+    /// Its runs end well all the time.
+    SuspectServed = 3,
 }
 impl SuspectState {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -723,6 +734,7 @@
             Self::SuspectInFlight => "SUSPECT_IN_FLIGHT",
             Self::SuspectRefused => "SUSPECT_REFUSED",
             Self::SuspectCleared => "SUSPECT_CLEARED",
+            Self::SuspectServed => "SUSPECT_SERVED",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -731,6 +743,7 @@
             "SUSPECT_IN_FLIGHT" => Some(Self::SuspectInFlight),
             "SUSPECT_REFUSED" => Some(Self::SuspectRefused),
             "SUSPECT_CLEARED" => Some(Self::SuspectCleared),
+            "SUSPECT_SERVED" => Some(Self::SuspectServed),
             _ => None,
         }
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod generated;
 pub mod headers;
 pub mod identity;
+pub mod suspects;
 pub mod transport;
 pub mod watched;
 
