Believe no entry or range that can't be true

Cause: entries of nodes and ranges were believed if they could be parsed. A range whose last key is below its first one ended the planner (attempt to subtract with overflow; in a release build the width wraps), and a token at its maximum has no next one. An entry that can't be read left the one before it in force, although it isn't in the store any more. Change: entries name 1 to 100,000 slots and an address that can be reached, ranges have keys and a token of at most 2^53 - 1; others are logged with their key and not believed. An odd entry ends the one before it; an odd range doesn't, as its keys may still be held and tokens must not come again. The end of a refusal that stands in the store is bounded before it is converted. Open: a range that another writer has overwritten can't be changed until its item is removed. Not changed: the list of the other node form holds what the store itself says (keys and revisions).

--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -7,6 +7,27 @@
 use cornelridge_model::time;
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Most slots of a worker that are believed.
+pub const MAX_SLOTS: u32 = 100_000;
+
+/// An entry that can't be true.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum EntryError {
+    /// The worker's number of slots.
+    #[error("a worker with {slots} slots; 1 to {MAX_SLOTS} are believed")]
+    Slots {
+        /// The number.
+        slots: u32,
+    },
+    /// The address of the node.
+    #[error("no node can be reached at {address}; its settings must name its address")]
+    Address {
+        /// The address.
+        address: net::SocketAddr,
+    },
+}
 
 /// One incarnation of a worker: its identifier and the time of its start.
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -77,6 +98,20 @@
     pub worker: Option<MemberWorker>,
 }
 
+impl MemberEntry {
+    /// What is wrong with an entry that was read, if anything is.
+    pub fn check(&self) -> Result<(), EntryError> {
+        let slots = self.worker.as_ref().map_or(1, |worker| worker.slots);
+        if slots == 0 || slots > MAX_SLOTS {
+            return Err(EntryError::Slots { slots });
+        }
+        if self.peer.port() == 0 || self.peer.ip().is_unspecified() {
+            return Err(EntryError::Address { address: self.peer });
+        }
+        Ok(())
+    }
+}
+
 /// Members by name, and since when others are missing.
 #[derive(Clone, Debug, Default)]
 pub struct MemberDirectory {
--- a/crates/fleet/src/range.rs
+++ b/crates/fleet/src/range.rs
@@ -4,6 +4,30 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Highest fencing token that is believed, the largest integer that all JSON readers keep. Each
+/// change of the owner takes the next one, so that it is never reached.
+pub const MAX_FENCE: u64 = (1 << 53) - 1;
+
+/// A row that can't be true.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum RowError {
+    /// It has no keys.
+    #[error("keys {first} to {last} are none")]
+    Keys {
+        /// First key.
+        first: u16,
+        /// Last key.
+        last: u16,
+    },
+    /// Its token has no next one.
+    #[error("fencing token {fence} is above {MAX_FENCE}")]
+    Fence {
+        /// The token.
+        fence: u64,
+    },
+}
 
 use crate::member;
 
@@ -34,6 +58,17 @@
 }
 
 impl RangeRow {
+    /// What is wrong with a row that was read, if anything is.
+    pub fn check(&self) -> Result<(), RowError> {
+        if self.last < self.first {
+            return Err(RowError::Keys { first: self.first, last: self.last });
+        }
+        if self.fence > MAX_FENCE {
+            return Err(RowError::Fence { fence: self.fence });
+        }
+        Ok(())
+    }
+
     /// Number of keys.
     pub fn width(&self) -> u32 {
         u32::from(self.last) - u32::from(self.first) + 1
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -1,5 +1,6 @@
 //! Follows the configuration, the members and the ranges in the store.
 
+use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -9,6 +10,7 @@
 use cornelridge_policy::quarantine;
 use cornelridge_store::items;
 use futures_lite::future;
+use thiserror::Error;
 
 use crate::clock;
 use crate::edge;
@@ -82,23 +84,23 @@
 
 /// Takes over one item.
 pub(crate) fn apply_item(view: &view::FleetView, item: &items::StoredItem) {
-    let unreadable = |error: serde_json::Error| {
+    let unreadable = |error: &dyn fmt::Display| {
         log::warn!(key:% = item.key, revision = item.revision, error:% = error; "item ignored");
     };
     match kind_of(&item.key) {
-        Some(KeyKind::Member(node)) => match serde_json::from_slice(&item.value) {
-            Ok(entry) => set_member(view, node, entry, item.revision),
-            Err(error) => unreadable(error),
-        },
-        Some(KeyKind::Range(service, first)) => {
-            match serde_json::from_slice::<range::RangeRow>(&item.value) {
-                Ok(row) if row.first == first => {
-                    view.ranges().service_mut(service).set(row, item.revision);
-                }
-                Ok(_) => log::warn!(key:% = item.key; "item ignored: it names another range"),
-                Err(error) => unreadable(error),
+        Some(KeyKind::Member(node)) => match read_member(node, &item.value) {
+            Ok(entry) => set_member(view, entry, item.revision),
+            Err(error) => {
+                unreadable(&error);
+                // The entry before it isn't in the store any more.
+                remove_item(view, &item.key, item.revision);
             }
-        }
+        },
+        // The row before it stays: its keys may still be held, and a token must not come again.
+        Some(KeyKind::Range(service, first)) => match read_row(first, &item.value) {
+            Ok(row) => view.ranges().service_mut(service).set(row, item.revision),
+            Err(error) => unreadable(&error),
+        },
         Some(KeyKind::Layout(service)) => {
             let mut ranges = view.ranges();
             let ranges = ranges.service_mut(service);
@@ -106,22 +108,49 @@
         }
         Some(KeyKind::Refusal(fingerprint)) => {
             if let Err(error) = view.suspects.take_item(fingerprint, &item.value) {
-                unreadable(error);
+                unreadable(&error);
             }
         }
         None => log::warn!(key:% = item.key; "item ignored: its key isn't known"),
     }
 }
 
-fn set_member(view: &view::FleetView, node: &str, entry: member::MemberEntry, revision: u64) {
+/// Why an item of the nodes isn't believed.
+#[derive(Debug, Error)]
+enum OddItem {
+    #[error("it can't be read: {0}; another program may write to the keys of the nodes")]
+    Unreadable(#[from] serde_json::Error),
+    #[error("it names {0}; another program may write to the keys of the nodes")]
+    Misnamed(String),
+    #[error(transparent)]
+    Entry(#[from] member::EntryError),
+    #[error(transparent)]
+    Row(#[from] range::RowError),
+}
+
+fn read_member(node: &str, value: &[u8]) -> Result<member::MemberEntry, OddItem> {
+    let entry: member::MemberEntry = serde_json::from_slice(value)?;
     if *entry.node != *node {
-        log::warn!(node, named:% = entry.node; "entry ignored: it names another node");
-        return;
+        return Err(OddItem::Misnamed(format!("the node {}", entry.node)));
     }
-    let before = view.directory().get(node).map(|known| Arc::clone(&known.entry));
+    entry.check()?;
+    Ok(entry)
+}
+
+fn read_row(first: u16, value: &[u8]) -> Result<range::RangeRow, OddItem> {
+    let row: range::RangeRow = serde_json::from_slice(value)?;
+    if row.first != first {
+        return Err(OddItem::Misnamed(format!("the range at {}", row.first)));
+    }
+    row.check()?;
+    Ok(row)
+}
+
+fn set_member(view: &view::FleetView, entry: member::MemberEntry, revision: u64) {
+    let before = view.directory().get(&entry.node).map(|known| Arc::clone(&known.entry));
     if before.as_deref() != Some(&entry) {
         log::info!(
-            node, revision, state:? = entry.state,
+            node:% = entry.node, revision, state:? = entry.state,
             worker = entry.worker.as_ref().map_or("none", |worker| &*worker.name.0);
             "member changed"
         );
--- a/crates/sidecar/src/suspects.rs
+++ b/crates/sidecar/src/suspects.rs
@@ -189,7 +189,8 @@
     ) -> Result<(), serde_json::Error> {
         let item: RefusalItem = serde_json::from_slice(value)?;
         let left = item.until_ms.saturating_sub(unix_millis());
-        let remaining = time::Duration::from_millis(left).min(quarantine::QUARANTINE);
+        let left = left.min(quarantine::QUARANTINE.as_millis());
+        let remaining = time::Duration::from_millis(left);
         self.merge("store", quarantine::SuspectNotice::Refused { fingerprint, remaining });
         Ok(())
     }
--- a/crates/sidecar/tests/nodes/main.rs
+++ b/crates/sidecar/tests/nodes/main.rs
@@ -7,6 +7,7 @@
 mod faulty;
 mod following;
 mod leaving;
+mod odd;
 mod pacing;
 mod requests;
 mod standin;
