Tell each refused request, and which worker seemed to have ended

The line of a refusal didn't name the hash by which its cause is found, and a worker that was wrongly taken for ended would have been taken for it at each lost answer. Change: a line for each refused request; a worker that answers a request that was sent later has not ended, with a test. Ruled out: to count such a worker's next end; it has the same name.

--- a/crates/policy/src/runs.rs
+++ b/crates/policy/src/runs.rs
@@ -43,8 +43,8 @@
 pub struct RunLedger {
     running: HashMap<RunKey, SentRun>,
     broken: VecDeque<BrokenRun>,
-    /// The incarnation that was found to have ended last.
-    ended: Option<ident::IncarnationId>,
+    /// The incarnation that was found to have ended last, and when.
+    ended: Option<(ident::IncarnationId, time::Instant)>,
 }
 
 impl RunLedger {
@@ -63,9 +63,11 @@
         self.running.remove(&key);
     }
 
-    /// Records a whole answer; what broke off before that request was sent did not end the worker.
+    /// Records a whole answer; what broke off before that request was sent did not end the worker,
+    /// even if it seemed to have ended.
     pub fn answered(&mut self, key: RunKey) -> Option<SentRun> {
         let run = self.running.remove(&key)?;
+        self.ended.take_if(|(worker, at)| *worker == run.worker && *at < run.sent);
         self.broken.retain(|broken| broken.run.worker != run.worker || broken.at >= run.sent);
         Some(run)
     }
@@ -81,7 +83,7 @@
 
     /// Whether this incarnation was found to have ended.
     pub fn has_ended(&self, worker: ident::IncarnationId) -> bool {
-        self.ended == Some(worker)
+        self.ended.is_some_and(|(ended, _)| ended == worker)
     }
 
     /// Records that an incarnation has ended; returns what it may have run then, each request once,
@@ -94,7 +96,7 @@
         if self.has_ended(worker) {
             return None;
         }
-        self.ended = Some(worker);
+        self.ended = Some((worker, now));
         let running = self.running.extract_if(|_, run| run.worker == worker).map(|(_, run)| run);
         let mut runs: Vec<_> = running.map(|run| run.fingerprint).collect();
         let broken = std::mem::take(&mut self.broken).into_iter();
--- a/crates/policy/tests/runs.rs
+++ b/crates/policy/tests/runs.rs
@@ -74,3 +74,16 @@
     assert_eq!(runs.len(), runs::MAX_BROKEN);
     assert!(runs.contains(&print(1_000)), "the last ones are kept");
 }
+
+/// Guards against taking each lost answer for an end after one look that was wrong.
+#[test]
+fn a_worker_that_answers_again_has_not_ended() {
+    let mut ledger = ledger(&[1, 50]);
+    ledger.broken(at(10), runs::RunKey(1));
+    assert!(ledger.take_ended(at(11), FIRST).is_some());
+    let run = runs::SentRun { fingerprint: print(60), worker: FIRST, sent: at(60) };
+    ledger.sent(runs::RunKey(60), run);
+    assert!(ledger.has_ended(FIRST));
+    ledger.answered(runs::RunKey(60));
+    assert!(!ledger.has_ended(FIRST));
+}
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -97,7 +97,7 @@
             let permit = self.side.admit(request, gone).await?;
             self.side.check(&worker, request)?;
             // A copy of the request may have ended a worker while this one waited.
-            let is_suspect = self.view.suspects.check(request.fingerprint)?;
+            let is_suspect = self.view.suspects.check(request)?;
             if trial.is_some() || is_suspect.is_none() {
                 break (trial, permit);
             }
@@ -122,7 +122,7 @@
         is_trial: bool,
         gone: &CancellationToken,
     ) -> Result<Option<worker::TrialPermit>, RequestFailure> {
-        let Some(crash) = self.view.suspects.check(request.fingerprint)? else { return Ok(None) };
+        let Some(crash) = self.view.suspects.check(request)? else { return Ok(None) };
         if is_trial || request.key.is_some() {
             return self.side.enter_trial(request, gone).await;
         }
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -95,7 +95,7 @@
     ) -> Result<answer::WorkerAnswer, RequestFailure> {
         let mut last = None;
         loop {
-            history.trial_of = self.view.suspects.check(request.fingerprint)?;
+            history.trial_of = self.view.suspects.check(request)?;
             let target = match self.find_target(request, history).await {
                 Ok(target) => target,
                 Err(failure) => return last.unwrap_or(Err(failure)),
--- a/crates/sidecar/src/suspects.rs
+++ b/crates/sidecar/src/suspects.rs
@@ -26,6 +26,7 @@
 use crate::follow;
 use crate::meter;
 use crate::peers;
+use crate::request;
 use crate::view;
 use crate::view::lock;
 
@@ -104,13 +105,20 @@
     /// worker at a time; a failure if two workers have ended under it.
     pub(crate) fn check(
         &self,
-        fingerprint: quarantine::RequestFingerprint,
+        request: &request::FleetRequest,
     ) -> Result<Option<quarantine::CrashId>, RequestFailure> {
+        let fingerprint = request.fingerprint;
         let registry = lock(&self.registry);
-        match registry.decide(clock::now(), fingerprint) {
+        let decision = registry.decide(clock::now(), fingerprint);
+        match decision {
             quarantine::SuspectDecision::Pass => Ok(None),
             quarantine::SuspectDecision::RunAlone => Ok(registry.crash_of(fingerprint)),
             quarantine::SuspectDecision::Refuse { remaining } => {
+                drop(registry);
+                log::info!(
+                    request:% = request.id, fingerprint:% = fingerprint, left_us = remaining.0;
+                    "refused: workers ended under requests like it"
+                );
                 let failure = RequestFailure::not_run(FailureCause::CrashesWorkers);
                 Err(failure.with_retry_after(remaining))
             }
--- a/crates/sidecar/src/worker.rs
+++ b/crates/sidecar/src/worker.rs
@@ -429,7 +429,7 @@
         let turn = async { Ok(clock::before(request.target, self.trial.lock_arc()).await) };
         let turn = future::or(caller_left(gone), turn).await?;
         permit.turn = Some(turn.ok_or_else(busy)?);
-        Ok(self.suspects.check(request.fingerprint)?.map(|_| permit))
+        Ok(self.suspects.check(request)?.map(|_| permit))
     }
 
     /// Notes that a request is being sent.
