Keep popular requests from being refused by nodes of other services

Cause: the node beside the worker knew that the request ends well all the time and suspected nothing, but its answer named the end of the worker all the same. A node beside another service counted it, saw two ends in one play and kept the refusal in the store, for all nodes of other services. The class: a conclusion drawn from a part of the evidence, by a node that doesn't have the rest. Ruled out, from the logs: the nodes of the service itself; they cleared it (source=sidecar-5). Change: an answer names the end of a worker only for what is suspected there; a good answer clears a request at the node that passed it on, too.

--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -187,7 +187,7 @@
                         "the worker broke off before its answer"
                     );
                     drop(permit);
-                    return Err(self.broke_off(worker).await);
+                    return Err(self.broke_off(request, worker).await);
                 }
                 None => {
                     return Err(RequestFailure::unknown(FailureCause::DeadlinePassed));
@@ -198,13 +198,19 @@
     }
 
     /// Why a worker broke off.
-    async fn broke_off(&self, worker: &member::WorkerName) -> RequestFailure {
-        match self.side.has_ended(worker).await {
-            true => {
-                let crash = suspects::crash_of(suspects::incarnation_of(worker));
-                RequestFailure::unknown(FailureCause::WorkerEnded).with_crash(crash)
-            }
-            false => RequestFailure::unknown(FailureCause::WorkerBrokeOff),
+    async fn broke_off(
+        &self,
+        request: &request::FleetRequest,
+        worker: &member::WorkerName,
+    ) -> RequestFailure {
+        if !self.side.has_ended(worker).await {
+            return RequestFailure::unknown(FailureCause::WorkerBrokeOff);
+        }
+        let failure = RequestFailure::unknown(FailureCause::WorkerEnded);
+        // Nodes beside other services don't know which requests end well all the time.
+        match self.view.suspects.is_known(request.fingerprint) {
+            true => failure.with_crash(suspects::crash_of(suspects::incarnation_of(worker))),
+            false => failure,
         }
     }
 
@@ -284,7 +290,7 @@
         if let Err(error) = body.read_ahead().await {
             log::warn!(request:% = request.id, error:% = error; "answer broke off");
             self.side.pool.distrust();
-            return Err(self.broke_off(worker).await);
+            return Err(self.broke_off(request, worker).await);
         }
         let spent = time::Duration::ZERO;
         Ok(answer::WorkerAnswer { status: parts.status, headers: parts.headers, body, load, spent })
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -9,6 +9,7 @@
 use cornelridge_fleet::route;
 use cornelridge_model::time;
 use cornelridge_policy::quarantine;
+use cornelridge_policy::runs;
 
 use crate::answer;
 use crate::clock;
@@ -336,6 +337,9 @@
             chooser.hint(now, worker, load.expected, load.sending);
         }
         if let Ok(answer) = &result {
+            // A node beside another service hears of no clearing but by the answers that it gets.
+            let (fingerprint, ran_at) = (request.fingerprint, incarnation_of(worker));
+            self.view.suspects.answered(runs::SentRun { fingerprint, worker: ran_at, sent });
             let mut way = now.since(sent).saturating_sub(answer.spent);
             if request.is_bulk {
                 way = way.saturating_sub(answer.load.sending);
--- a/crates/sidecar/src/suspects.rs
+++ b/crates/sidecar/src/suspects.rs
@@ -125,6 +125,12 @@
         }
     }
 
+    /// Whether a request is suspected or refused.
+    pub(crate) fn is_known(&self, fingerprint: quarantine::RequestFingerprint) -> bool {
+        let decision = lock(&self.registry).decide(clock::now(), fingerprint);
+        decision != quarantine::SuspectDecision::Pass
+    }
+
     /// Records what ran when an incarnation ended.
     pub(crate) fn ended(
         &self,
--- a/crates/sidecar/tests/nodes/crashing.rs
+++ b/crates/sidecar/tests/nodes/crashing.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::standin::worker::Behaviour;
-use crate::standin::{Answer, Deployment, call_at, until};
+use crate::standin::{Answer, Deployment, Host, call_at, until};
 use futures_lite::future::block_on;
 use http::StatusCode;
 
@@ -17,11 +17,15 @@
     deployment
 }
 
-/// Waits until each node has reached each worker, so that all nodes know one another. The other
-/// workers refuse meanwhile.
+/// Waits until each node has reached each worker, so that all nodes know one another.
 async fn settle_pairs(deployment: &Deployment) {
+    settle_pairs_with(deployment, deployment.hosts.len(), "/read/x").await;
+}
+
+/// The same for the first workers and a path. The other workers refuse meanwhile.
+async fn settle_pairs_with(deployment: &Deployment, workers: usize, path: &'static str) {
     let hosts = 0..deployment.hosts.len();
-    for worker in hosts.clone() {
+    for worker in 0..workers {
         for (index, host) in deployment.hosts.iter().enumerate() {
             let is_chosen = index == worker;
             host.worker.behave(if is_chosen { Behaviour::Answer } else { Behaviour::Shed });
@@ -31,7 +35,7 @@
             until("the node reaches the worker", || {
                 attempt += 1;
                 let id = format!("pair-{host}-{worker}-{attempt}");
-                async move { deployment.call(host, &id, "/read/x", None).await.status == StatusCode::OK }
+                async move { deployment.call(host, &id, path, None).await.status == StatusCode::OK }
             })
             .await;
         }
@@ -224,6 +228,36 @@
     });
 }
 
+/// Guards against a popular request that is refused for ten minutes at nodes beside other services:
+/// they saw it end two workers, and don't know that it ends well all the time.
+#[test]
+fn a_popular_request_is_not_refused_by_nodes_of_other_services() {
+    block_on(async {
+        let deployment = Deployment::start(&["desk", "desk", "files"]).await;
+        deployment.configure(1);
+        settle_pairs_with(&deployment, 2, "/read/popular").await;
+        let desks = &deployment.hosts[..2];
+        desks.iter().for_each(|host| host.worker.behave(Behaviour::Hold));
+        let address = deployment.hosts[2].node.addresses.callers;
+        let call = smol::spawn(call_at(address, "held".to_owned(), "/read/popular", None));
+        for attempt in 1..=2 {
+            until("the request runs", || async { deployment.runs("held") == attempt }).await;
+            let runs = |host: &&Host| host.worker.runs("held") == 1 && host.worker.ends() == 0;
+            desks.iter().find(runs).unwrap().worker.end();
+        }
+        call.await;
+        desks.iter().for_each(|host| host.worker.behave(Behaviour::Answer));
+        until("a worker is back", || async {
+            deployment.call(0, "back", "/read/x", None).await.status == StatusCode::OK
+        })
+        .await;
+        for host in 0..3 {
+            let answer = deployment.call(host, "after", "/read/popular", None).await;
+            assert!(!answer.body.contains("crashes-workers"), "{host}: {answer:?}");
+        }
+    });
+}
+
 /// Guards against suspecting requests whose answers are lost by workers that go on.
 #[test]
 fn lost_answers_make_no_suspects() {
