Grant keys to workers by calls where the settings say so

Ruled out: calls from another node than the one beside the worker, as only processes on its machine can reach it; one connection for all calls, as a worker serves one call at a time on it and a release lasts as long as the work; trusting a release while a grant has no answer, as that may be applied seconds later.

Change: fleet::ledger keeps, for each range, until when the worker holds it at least (answered calls, from their issue) and at most (all calls, from their latest arrival); a range is passed on when its release was answered with a token and no grant is open, or when all calls have lapsed; a fencing token is not used again after a release. sidecar::grant_calls sends the calls; grants go to a new connection only if the worker has reported since one was closed. Who holds which keys is decided as before. The simulation of fleet plays both ways.

--- a/crates/fleet/src/grant.rs
+++ b/crates/fleet/src/grant.rs
@@ -6,6 +6,7 @@
 
 use cornelridge_model::time;
 
+use crate::ledger;
 use crate::member;
 use crate::plan;
 use crate::range;
@@ -104,6 +105,46 @@
     Stale,
 }
 
+/// How grants reach the worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, derive_more::Display)]
+pub enum GrantDelivery {
+    /// By the replies to its reports.
+    #[default]
+    #[display("replies")]
+    Replies,
+    /// By calls to its address.
+    #[display("calls")]
+    Calls,
+}
+
+/// What a worker has been granted.
+#[derive(Clone, Debug)]
+enum GrantState {
+    Replies(ReplyState),
+    Calls(ledger::CallLedger),
+}
+
+impl GrantState {
+    /// Returns the state of a worker that this run of the node has granted nothing;
+    /// `inherited_until` tells until when grants of an earlier run may be in force.
+    fn new(delivery: GrantDelivery, inherited_until: time::Instant) -> GrantState {
+        match delivery {
+            GrantDelivery::Replies => GrantState::Replies(ReplyState::default()),
+            GrantDelivery::Calls => GrantState::Calls(ledger::CallLedger::new(inherited_until)),
+        }
+    }
+}
+
+/// Grants by replies to reports.
+#[derive(Clone, Debug, Default)]
+struct ReplyState {
+    /// Ranges in the last reply.
+    granted: Vec<GrantedRange>,
+    granted_until: time::Instant,
+    /// Ranges in the reply before the last report, which that report takes into account.
+    acknowledged: Vec<GrantedRange>,
+}
+
 /// Latest incarnation that has reported.
 #[derive(Clone, Debug)]
 struct KnownWorker {
@@ -113,11 +154,39 @@
     /// When the node acknowledged that the worker is leaving.
     leaving_since: Option<time::Instant>,
     has_ended: bool,
-    /// Ranges in the last reply.
-    granted: Vec<GrantedRange>,
-    granted_until: time::Instant,
-    /// Ranges in the reply before the last report, which that report takes into account.
-    acknowledged: Vec<GrantedRange>,
+    state: GrantState,
+}
+
+impl KnownWorker {
+    /// Returns until when the worker may hold keys by the grants of this run of the node.
+    fn granted_until(&self) -> time::Instant {
+        match &self.state {
+            GrantState::Replies(replies) => replies.granted_until,
+            GrantState::Calls(ledger) => ledger.possible_until(),
+        }
+    }
+
+    /// Returns the handover token, if it is known, of a row that the worker doesn't hold any more
+    /// and can't come to hold; `None` if it may hold the row.
+    fn released_row(
+        &self,
+        now: time::Instant,
+        row: &range::RangeRow,
+        handovers: &HashMap<(u16, u16), Arc<str>>,
+    ) -> Option<Arc<str>> {
+        let replies = match &self.state {
+            GrantState::Replies(replies) => replies,
+            GrantState::Calls(ledger) => return ledger.released(now, row),
+        };
+        let overlaps = |first: u16, last: u16| first <= row.last && last >= row.first;
+        let granted = replies.acknowledged.iter().chain(&replies.granted);
+        let is_granted = granted.into_iter().any(|range| overlaps(range.first, range.last));
+        let is_held = self.report.holds.iter().any(|held| overlaps(held.first, held.last));
+        if is_granted || is_held {
+            return None;
+        }
+        Some(handovers.get(&(row.first, row.last)).map(Arc::clone).unwrap_or_default())
+    }
 }
 
 /// Deregistration of a worker that hasn't reported to this run of the node.
@@ -131,6 +200,7 @@
 #[derive(Debug)]
 pub struct WorkerGrants {
     node: Arc<str>,
+    delivery: GrantDelivery,
     started_at: time::Instant,
     worker: Option<KnownWorker>,
     early_deregistration: Option<EarlyDeregistration>,
@@ -148,9 +218,10 @@
 
 impl WorkerGrants {
     /// Creates the state of a node that starts now; its previous run may have granted keys.
-    pub fn new(node: Arc<str>, now: time::Instant) -> WorkerGrants {
+    pub fn new(node: Arc<str>, delivery: GrantDelivery, now: time::Instant) -> WorkerGrants {
         WorkerGrants {
             node,
+            delivery,
             started_at: now,
             worker: None,
             early_deregistration: None,
@@ -182,6 +253,11 @@
         self.worker.as_ref()?.leaving_since
     }
 
+    /// Returns when the worker reported last.
+    pub fn reported_at(&self) -> Option<time::Instant> {
+        self.worker.as_ref().map(|known| known.reported_at)
+    }
+
     /// Returns the time since the last report, or since the start of the node before the first one.
     pub fn silence(&self, now: time::Instant) -> time::Duration {
         now.since(self.worker.as_ref().map_or(self.started_at, |known| known.reported_at))
@@ -218,18 +294,17 @@
                 known.report = report;
                 known.leaving_since = leaving_since;
                 known.reported_at = now;
-                known.acknowledged.clone_from(&known.granted);
+                if let GrantState::Replies(replies) = &mut known.state {
+                    replies.acknowledged.clone_from(&replies.granted);
+                }
             }
             None => {
-                self.worker = Some(KnownWorker {
-                    report,
-                    reported_at: now,
-                    leaving_since,
-                    has_ended: false,
-                    granted: Vec::new(),
-                    granted_until: now,
-                    acknowledged: Vec::new(),
-                });
+                let inherited_until = self.started_at + registration::takeover_delay();
+                let state = GrantState::new(self.delivery, inherited_until);
+                let reported_at = now;
+                let has_ended = false;
+                self.worker =
+                    Some(KnownWorker { report, reported_at, leaving_since, has_ended, state });
             }
         }
         status
@@ -284,7 +359,7 @@
             return false;
         }
         known.has_ended = true;
-        known.granted.clear();
+        known.state = GrantState::new(self.delivery, now);
         self.possibly_held_until = now;
         true
     }
@@ -304,6 +379,7 @@
         max_hold: time::Duration,
     ) -> Option<GrantReply> {
         let known = self.worker.as_mut().filter(|known| !known.has_ended)?;
+        let GrantState::Replies(replies) = &mut known.state else { return None };
         let hold = registration.remaining_hold(now)?.min(max_hold);
         if hold == time::Duration::ZERO {
             return None;
@@ -316,8 +392,8 @@
                 handover: Arc::clone(&row.handover),
             })
             .collect();
-        known.granted.clone_from(&granted);
-        known.granted_until = known.granted_until.max(known.reported_at + hold);
+        replies.granted.clone_from(&granted);
+        replies.granted_until = replies.granted_until.max(known.reported_at + hold);
         self.possibly_held_until = self.possibly_held_until.max(now + registration::GRANT_TTL);
         Some(GrantReply { ranges: granted, hold })
     }
@@ -335,6 +411,7 @@
         let Some(known) = self.worker.as_ref().filter(|known| !known.has_ended) else {
             return false;
         };
+        let GrantState::Replies(replies) = &known.state else { return false };
         let report = &known.report;
         if report.name != *worker
             || report.sequence != sequence
@@ -348,7 +425,7 @@
         held.sort_unstable();
         let due = due_rows(&self.relinquished, worker, ranges);
         let is_same = due.map(|row| (row.first, row.last, row.fence)).eq(held.iter().copied());
-        is_same && (held.is_empty() || until <= known.granted_until)
+        is_same && (held.is_empty() || until <= replies.granted_until)
     }
 
     /// Returns whether the report `sequence` of `worker` is the last one.
@@ -358,18 +435,92 @@
     }
 
     /// Returns the first and last keys of the ranges that the worker was granted last.
-    pub fn granted(&self) -> impl Iterator<Item = (u16, u16)> {
-        let known = self.worker.iter().filter(|known| !known.has_ended);
-        known.flat_map(|known| known.granted.iter().map(|range| (range.first, range.last)))
+    pub fn granted(&self) -> Vec<(u16, u16)> {
+        let Some(known) = self.running() else { return Vec::new() };
+        match &known.state {
+            GrantState::Replies(replies) => {
+                replies.granted.iter().map(|range| (range.first, range.last)).collect()
+            }
+            GrantState::Calls(ledger) => ledger.granted().collect(),
+        }
     }
 
     /// Returns whether the worker holds `key` now under a grant of this node.
     pub fn serves(&self, now: time::Instant, key: u16) -> bool {
-        let Some(known) = self.worker.as_ref().filter(|known| !known.has_ended) else {
-            return false;
+        let Some(known) = self.running() else { return false };
+        let until = now + DISPATCH_MARGIN;
+        match &known.state {
+            GrantState::Replies(replies) => {
+                until < replies.granted_until
+                    && replies.granted.iter().any(|range| (range.first..=range.last).contains(&key))
+            }
+            GrantState::Calls(ledger) => ledger.holds(until, key),
+        }
+    }
+
+    /// Returns the worker unless it has ended.
+    fn running(&self) -> Option<&KnownWorker> {
+        self.worker.as_ref().filter(|known| !known.has_ended)
+    }
+
+    /// Returns the next call that is due to the worker, which counts as sent from `now` on, or
+    /// `None` if grants are delivered otherwise. `is_busy` tells whether requests run on keys of a
+    /// range.
+    pub fn next_call(
+        &mut self,
+        now: time::Instant,
+        registration: &registration::EntryRegistration,
+        ranges: &range::ServiceRanges,
+        max_hold: time::Duration,
+        is_busy: impl Fn(u16, u16) -> bool,
+    ) -> Option<ledger::WorkerCall> {
+        let is_reporting = self.is_reporting(now);
+        let known = self.worker.as_mut().filter(|known| !known.has_ended)?;
+        let GrantState::Calls(ledger) = &mut known.state else { return None };
+        if !ledger.is_loaded() && registration.remaining_hold(now).is_none() {
+            return None;
+        }
+        let worker = &known.report.name;
+        let is_owned = |stored: &&range::StoredRow| {
+            stored.row.owner.as_ref().is_some_and(|owner| owner.worker == *worker)
         };
-        now + DISPATCH_MARGIN < known.granted_until
-            && known.granted.iter().any(|range| (range.first..=range.last).contains(&key))
+        let relinquished = &self.relinquished;
+        let is_due = |stored: &range::StoredRow| {
+            stored.row.successor.is_none()
+                && relinquished.get(&stored.row.first) != Some(&stored.revision)
+        };
+        ledger.update(now, ranges.rows().filter(is_owned), is_due);
+        // The worker counts the hold from the arrival of the call.
+        let hold = registration.remaining_hold(now + ledger::CALL_TIMEOUT);
+        let hold = hold.filter(|_| is_reporting).map(|hold| hold.min(max_hold));
+        let call = ledger.next_call(now, ranges, hold, is_busy)?;
+        if matches!(call.order, ledger::CallOrder::Grant(..)) {
+            self.possibly_held_until = self.possibly_held_until.max(now + registration::GRANT_TTL);
+        }
+        Some(call)
+    }
+
+    /// Returns when the next call to the worker may be due, if nothing changes before.
+    pub fn next_call_at(&self) -> Option<time::Instant> {
+        match &self.running()?.state {
+            GrantState::Replies(_) => None,
+            GrantState::Calls(ledger) => ledger.next_call_at(),
+        }
+    }
+
+    /// Applies the result of a call to an incarnation, unless another one runs by now; returns
+    /// whether the worker has begun or ceased to hold a range.
+    pub fn apply_call(
+        &mut self,
+        worker: &member::WorkerName,
+        number: ledger::CallNumber,
+        outcome: &ledger::CallOutcome,
+    ) -> bool {
+        let known = self.worker.as_mut().filter(|known| known.report.name == *worker);
+        match known.map(|known| &mut known.state) {
+            Some(GrantState::Calls(ledger)) => ledger.apply(number, outcome),
+            Some(GrantState::Replies(_)) | None => false,
+        }
     }
 
     /// Returns the changes that only this node may make: those of rows that its worker has released
@@ -404,28 +555,22 @@
         };
         // Grants that expired during an outage are renewed with the worker's next report.
         let is_presumed_ended = !self.is_reporting(now)
-            && now >= known.granted_until
+            && now >= known.granted_until()
             && now >= self.possibly_held_until;
         if known.has_ended || is_presumed_ended {
             return Some(self.reassigned(row));
         }
-        let overlaps = |first: u16, last: u16| first <= row.last && last >= row.first;
-        let is_granted = known.acknowledged.iter().any(|range| overlaps(range.first, range.last))
-            || known.granted.iter().any(|range| overlaps(range.first, range.last));
-        let is_held = known.report.holds.iter().any(|held| overlaps(held.first, held.last));
-        if is_granted || is_held {
-            return None;
+        let handover = known.released_row(now, row, &self.handovers)?;
+        if let Some(successor) = &row.successor {
+            return Some(row.with_owner(successor.clone(), handover));
         }
-        let handover = self.handovers.get(&(row.first, row.last)).map(Arc::clone);
-        match &row.successor {
-            Some(successor) => {
-                Some(row.with_owner(successor.clone(), handover.unwrap_or_default()))
-            }
-            None => {
-                let is_relinquished = self.relinquished.get(&row.first) == Some(&stored.revision);
-                is_relinquished.then(|| row.without_owner(handover.unwrap_or_default()))
-            }
+        if self.relinquished.get(&row.first) == Some(&stored.revision) {
+            return Some(row.without_owner(handover));
         }
+        let is_again_due = matches!(known.state, GrantState::Calls(_))
+            && known.report.state == member::WorkerState::Ready;
+        // The fencing token under which the range was released isn't used again.
+        is_again_due.then(|| row.with_owner(owner.clone(), handover))
     }
 
     /// Returns a row whose owner has ended with its new owner: the chosen successor or else, if it
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod budget;
 pub mod config;
 pub mod grant;
+pub mod ledger;
 pub mod link;
 pub mod member;
 pub mod plan;
--- a/crates/fleet/src/registration.rs
+++ b/crates/fleet/src/registration.rs
@@ -21,6 +21,12 @@
     GRANT_TTL + SAFETY_MARGIN
 }
 
+/// Returns how long a worker may hold its keys if it was granted them for `hold`, as its clock may
+/// run slow.
+pub fn longest_hold(hold: time::Duration) -> time::Duration {
+    time::Duration(hold.0 * (100 + MAX_CLOCK_DRIFT_PERCENT) / 100)
+}
+
 /// State of this node's own entry in the store.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EntryRegistration {
--- a/crates/fleet/tests/grant.rs
+++ b/crates/fleet/tests/grant.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use cornelridge_fleet::grant::{FreedRange, HeldRange, WorkerGrants, WorkerReport};
+use cornelridge_fleet::grant::{FreedRange, GrantDelivery, HeldRange, WorkerGrants, WorkerReport};
 use cornelridge_fleet::member::{WorkerName, WorkerState};
 use cornelridge_fleet::range::{RangeHolder, RangeRow, RangeTable};
 use cornelridge_fleet::registration::EntryRegistration;
@@ -55,7 +55,7 @@
     let mut registration = EntryRegistration::default();
     registration.registered(NOW);
     registration.ranges_loaded();
-    let mut grants = WorkerGrants::new(Arc::from("node"), NOW);
+    let mut grants = WorkerGrants::new(Arc::from("node"), GrantDelivery::Replies, NOW);
     grants.apply_report(NOW, report(1, Vec::new()));
     assert!(grants.reply(NOW, &registration, table.service("desk"), MAX_HOLD).is_some());
     grants
@@ -103,7 +103,7 @@
 
 #[test]
 fn a_report_that_comes_after_the_goodbye_does_not_bring_the_worker_back() {
-    let mut grants = WorkerGrants::new(Arc::from("node"), NOW);
+    let mut grants = WorkerGrants::new(Arc::from("node"), GrantDelivery::Replies, NOW);
     grants.apply_report(NOW, report(1, Vec::new()));
     assert!(grants.deregister(NOW, "w"));
     grants.apply_report(LATER, report(2, Vec::new()));
@@ -113,7 +113,7 @@
 
 #[test]
 fn a_goodbye_before_the_first_report_counts() {
-    let mut grants = WorkerGrants::new(Arc::from("node"), NOW);
+    let mut grants = WorkerGrants::new(Arc::from("node"), GrantDelivery::Replies, NOW);
     assert!(!grants.deregister(NOW, "w"), "the worker is unknown to this run of the node");
     grants.apply_report(LATER, report(9, Vec::new()));
     assert_eq!(grants.current_report().map(|report| report.state), Some(WorkerState::Draining));
--- a/crates/fleet/tests/ownership.rs
+++ b/crates/fleet/tests/ownership.rs
@@ -4,9 +4,12 @@
 
 mod simulation;
 
+use cornelridge_fleet::grant::GrantDelivery;
 use cornelridge_fleet::member;
 use cornelridge_model::time::Duration;
 
+/// Both ways in which grants reach a worker.
+const DELIVERIES: [GrantDelivery; 2] = [GrantDelivery::Replies, GrantDelivery::Calls];
 /// Simulated steps with faults.
 const FAULT_STEPS: u64 = 6_000;
 /// Steps without faults after which all keys must have a holder again.
@@ -16,9 +19,10 @@
     (0..steps).for_each(|_| simulation.step());
 }
 
-fn run_seed(seed: u64) {
-    let mut simulation = simulation::Simulation::new(seed, 4);
+fn run_seed(seed: u64, delivery: GrantDelivery) {
+    let mut simulation = simulation::Simulation::new(seed, 4, delivery);
     run(&mut simulation, 400);
+    simulation.has_prompt_calls = false;
     for step in 0..FAULT_STEPS {
         simulation.step();
         if step % 25 == 0 {
@@ -27,7 +31,11 @@
     }
     clear_faults(&mut simulation);
     run(&mut simulation, RECOVERY_STEPS);
-    assert_eq!(simulation.held_keys(), 65_536, "keys without a holder after recovery, seed {seed}");
+    assert_eq!(
+        simulation.held_keys(),
+        65_536,
+        "keys without a holder after recovery, seed {seed}, grants by {delivery}"
+    );
 }
 
 fn inject_fault(simulation: &mut simulation::Simulation) {
@@ -62,6 +70,7 @@
 
 fn clear_faults(simulation: &mut simulation::Simulation) {
     simulation.store.is_down = false;
+    simulation.has_prompt_calls = true;
     for index in 0..simulation.nodes.len() {
         simulation.nodes[index].is_partitioned = false;
         simulation.nodes[index].read_delay = Duration::ZERO;
@@ -80,81 +89,103 @@
 fn no_key_has_two_holders() {
     (0..60).for_each(|seed| {
         eprintln!("seed {seed}");
-        run_seed(seed);
+        run_seed(seed, GrantDelivery::Replies);
     });
 }
 
+/// Guards against granting keys elsewhere while a call without an answer may still be applied, or
+/// while the former holder works on them.
 #[test]
-fn keys_are_held_soon_after_the_start() {
-    let mut simulation = simulation::Simulation::new(1, 4);
-    run(&mut simulation, 400);
-    assert_eq!(simulation.held_keys(), 65_536);
+fn no_key_has_two_holders_when_grants_are_calls() {
+    (0..60).for_each(|seed| {
+        eprintln!("seed {seed}");
+        run_seed(seed, GrantDelivery::Calls);
+    });
 }
 
 #[test]
-fn a_restarted_node_moves_no_keys() {
-    let mut simulation = simulation::Simulation::new(2, 4);
-    run(&mut simulation, 600);
-    let before = simulation.moves;
-    simulation.nodes[1].is_up = false;
-    run(&mut simulation, 100);
-    simulation.restart_node(1);
-    run(&mut simulation, 600);
-    assert_eq!(simulation.moves, before);
-    assert_eq!(simulation.held_keys(), 65_536);
+fn keys_are_held_soon_after_the_start() {
+    for delivery in DELIVERIES {
+        let mut simulation = simulation::Simulation::new(1, 4, delivery);
+        run(&mut simulation, 400);
+        assert_eq!(simulation.held_keys(), 65_536);
+    }
 }
 
 #[test]
-fn an_outage_shorter_than_the_grants_moves_no_keys() {
-    for leases_expire_while_down in [false, true] {
-        let mut simulation = simulation::Simulation::new(3, 4);
+fn a_restarted_node_moves_no_keys() {
+    for delivery in DELIVERIES {
+        let mut simulation = simulation::Simulation::new(2, 4, delivery);
         run(&mut simulation, 600);
         let before = simulation.moves;
-        simulation.store.is_down = true;
-        simulation.store.leases_expire_while_down = leases_expire_while_down;
-        run(&mut simulation, 450);
-        assert_eq!(simulation.held_keys(), 65_536);
-        simulation.store.is_down = false;
+        simulation.nodes[1].is_up = false;
+        run(&mut simulation, 100);
+        simulation.restart_node(1);
         run(&mut simulation, 600);
         assert_eq!(simulation.moves, before);
         assert_eq!(simulation.held_keys(), 65_536);
     }
 }
 
+#[test]
+fn an_outage_shorter_than_the_grants_moves_no_keys() {
+    for delivery in DELIVERIES {
+        for leases_expire_while_down in [false, true] {
+            let mut simulation = simulation::Simulation::new(3, 4, delivery);
+            run(&mut simulation, 600);
+            let before = simulation.moves;
+            simulation.store.is_down = true;
+            simulation.store.leases_expire_while_down = leases_expire_while_down;
+            run(&mut simulation, 450);
+            assert_eq!(simulation.held_keys(), 65_536);
+            simulation.store.is_down = false;
+            run(&mut simulation, 600);
+            assert_eq!(simulation.moves, before);
+            assert_eq!(simulation.held_keys(), 65_536);
+        }
+    }
+}
+
 #[test]
 fn an_outage_longer_than_the_grants_moves_no_keys_of_workers_that_report() {
-    for leases_expire_while_down in [false, true] {
-        let mut simulation = simulation::Simulation::new(6, 4);
-        run(&mut simulation, 600);
-        let before = simulation.highest_fence();
-        simulation.store.is_down = true;
-        simulation.store.leases_expire_while_down = leases_expire_while_down;
-        run(&mut simulation, 1_400);
-        assert_eq!(simulation.held_keys(), 0);
-        simulation.store.is_down = false;
-        run(&mut simulation, 600);
-        assert_eq!(simulation.highest_fence(), before);
-        assert_eq!(simulation.held_keys(), 65_536);
+    for delivery in DELIVERIES {
+        for leases_expire_while_down in [false, true] {
+            let mut simulation = simulation::Simulation::new(6, 4, delivery);
+            run(&mut simulation, 600);
+            let before = simulation.highest_fence();
+            simulation.store.is_down = true;
+            simulation.store.leases_expire_while_down = leases_expire_while_down;
+            run(&mut simulation, 1_400);
+            assert_eq!(simulation.held_keys(), 0);
+            simulation.store.is_down = false;
+            run(&mut simulation, 600);
+            assert_eq!(simulation.highest_fence(), before);
+            assert_eq!(simulation.held_keys(), 65_536);
+        }
     }
 }
 
 #[test]
 fn the_keys_of_a_lost_machine_are_held_again_within_ten_seconds() {
-    let mut simulation = simulation::Simulation::new(4, 4);
-    run(&mut simulation, 600);
-    simulation.nodes[2].is_up = false;
-    simulation.workers[2].is_up = false;
-    run(&mut simulation, 1_000);
-    assert_eq!(simulation.held_keys(), 65_536);
+    for delivery in DELIVERIES {
+        let mut simulation = simulation::Simulation::new(4, 4, delivery);
+        run(&mut simulation, 600);
+        simulation.nodes[2].is_up = false;
+        simulation.workers[2].is_up = false;
+        run(&mut simulation, 1_000);
+        assert_eq!(simulation.held_keys(), 65_536);
+    }
 }
 
 #[test]
 fn a_draining_worker_gives_its_keys_away() {
-    let mut simulation = simulation::Simulation::new(5, 4);
-    run(&mut simulation, 600);
-    simulation.workers[0].state = member::WorkerState::Draining;
-    run(&mut simulation, 500);
-    simulation.workers[0].is_up = false;
-    run(&mut simulation, 10);
-    assert_eq!(simulation.held_keys(), 65_536);
+    for delivery in DELIVERIES {
+        let mut simulation = simulation::Simulation::new(5, 4, delivery);
+        run(&mut simulation, 600);
+        simulation.workers[0].state = member::WorkerState::Draining;
+        run(&mut simulation, 500);
+        simulation.workers[0].is_up = false;
+        run(&mut simulation, 10);
+        assert_eq!(simulation.held_keys(), 65_536);
+    }
 }
--- a/crates/fleet/tests/simulation/mod.rs
+++ b/crates/fleet/tests/simulation/mod.rs
@@ -1,5 +1,6 @@
 //! Simulation of a small deployment: a store with leases, nodes and workers that hold ranges.
 
+mod calls;
 mod store;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -45,6 +46,9 @@
     delayed_reply: Option<(Instant, Instant, grant::GrantReply)>,
     pub(crate) state: member::WorkerState,
     handover_count: u64,
+    /// Highest fencing token that this incarnation has seen on each key.
+    seen_fences: BTreeMap<u16, u64>,
+    runs: Vec<calls::KeyRun>,
 }
 
 #[derive(Clone, Debug)]
@@ -64,6 +68,10 @@
     /// Highest fencing token under which each key was held, with the holder.
     fences: BTreeMap<u16, (u64, String)>,
     pub(crate) moves: u64,
+    delivery: grant::GrantDelivery,
+    calls: Vec<calls::PendingCall>,
+    /// Whether calls arrive and are answered at once.
+    pub(crate) has_prompt_calls: bool,
 }
 
 fn service() -> Arc<str> {
@@ -75,7 +83,7 @@
 }
 
 impl Simulation {
-    pub(crate) fn new(seed: u64, size: usize) -> Simulation {
+    pub(crate) fn new(seed: u64, size: usize, delivery: grant::GrantDelivery) -> Simulation {
         let now = Instant(1_000_000_000);
         let mut simulation = Simulation {
             now,
@@ -85,10 +93,13 @@
             random: fastrand::Rng::with_seed(seed),
             fences: BTreeMap::new(),
             moves: 0,
+            delivery,
+            calls: Vec::new(),
+            has_prompt_calls: true,
         };
         for index in 0..size {
             let name = Arc::from(format!("node-{index}"));
-            simulation.nodes.push(new_node(name, now));
+            simulation.nodes.push(new_node(name, delivery, now));
             simulation.workers.push(new_worker(now, simulation.random.u64(0..870)));
         }
         simulation
@@ -103,7 +114,8 @@
         let (is_partitioned, read_delay) =
             (self.nodes[index].is_partitioned, self.nodes[index].read_delay);
         let run = self.nodes[index].run + 1;
-        self.nodes[index] = Node { is_partitioned, read_delay, run, ..new_node(name, self.now) };
+        self.nodes[index] =
+            Node { is_partitioned, read_delay, run, ..new_node(name, self.delivery, self.now) };
     }
 
     pub(crate) fn restart_worker(&mut self, index: usize) {
@@ -124,8 +136,10 @@
         for index in 0..self.nodes.len() {
             if self.nodes[index].is_up {
                 self.step_node(index);
+                self.send_calls(index);
             }
         }
+        self.step_calls();
         self.assert_single_holder();
     }
 
@@ -151,6 +165,7 @@
         let name = self.name(index);
         let worker = &mut self.workers[index];
         worker.sequence += 1;
+        let is_by_calls = self.delivery == grant::GrantDelivery::Calls;
         let held = |hold: &Hold| grant::HeldRange {
             first: hold.first,
             last: hold.last,
@@ -165,7 +180,7 @@
             slots: 12,
             state: worker.state,
             warm_up: Duration::ZERO,
-            holds: worker.holds.iter().map(held).collect(),
+            holds: worker.holds.iter().filter(|_| !is_by_calls).map(held).collect(),
             freed: std::mem::take(&mut worker.freed),
         };
         let node = &mut self.nodes[index];
@@ -193,16 +208,7 @@
             if !known {
                 self.moves += 1;
             }
-            for key in [range.first, range.last] {
-                let (fence, holder) = self.fences.get(&key).cloned().unwrap_or_default();
-                let is_new = holder != name;
-                assert!(
-                    !is_new || range.fence > fence,
-                    "{name} takes key {key} with fence {}, {holder} had {fence}",
-                    range.fence
-                );
-                self.fences.insert(key, (range.fence.max(fence), name.clone()));
-            }
+            check_fence(&mut self.fences, &name, range);
             let (first, last, fence) = (range.first, range.last, range.fence);
             worker.holds.push(Hold { first, last, fence, until });
         }
@@ -394,6 +400,8 @@
         for (index, worker) in self.workers.iter().enumerate().filter(|(_, w)| w.is_up) {
             let current = worker.holds.iter().filter(|hold| hold.until > self.now);
             holds.extend(current.map(|hold| (hold.first, hold.last, index)));
+            let runs = worker.runs.iter().filter(|run| run.until > self.now);
+            holds.extend(runs.map(|run| (run.key, run.key, index)));
         }
         holds.sort_unstable();
         for pair in holds.windows(2) {
@@ -423,6 +431,19 @@
     }
 }
 
+/// Checks that a worker gets keys with a higher fencing token than all other workers had.
+fn check_fence(fences: &mut BTreeMap<u16, (u64, String)>, name: &str, range: &grant::GrantedRange) {
+    for key in [range.first, range.last] {
+        let (fence, holder) = fences.get(&key).cloned().unwrap_or_default();
+        assert!(
+            holder == name || range.fence > fence,
+            "{name} takes key {key} with fence {}, {holder} had {fence}",
+            range.fence
+        );
+        fences.insert(key, (range.fence.max(fence), name.to_owned()));
+    }
+}
+
 fn read_all(node: &mut Node, store: &Store, now: Instant) {
     for (key, item) in &store.items {
         apply(node, now, key, Some(&item.value), item.revision);
@@ -448,9 +469,9 @@
     }
 }
 
-fn new_node(name: Arc<str>, now: Instant) -> Node {
+fn new_node(name: Arc<str>, delivery: grant::GrantDelivery, now: Instant) -> Node {
     Node {
-        grants: grant::WorkerGrants::new(Arc::clone(&name), now),
+        grants: grant::WorkerGrants::new(Arc::clone(&name), delivery, now),
         name,
         is_up: true,
         is_partitioned: false,
@@ -481,5 +502,7 @@
         delayed_reply: None,
         state: member::WorkerState::Ready,
         handover_count: 0,
+        seen_fences: BTreeMap::new(),
+        runs: Vec::new(),
     }
 }
--- a/crates/sidecar/src/adapter.rs
+++ b/crates/sidecar/src/adapter.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use cornelridge_fleet::config;
 use cornelridge_fleet::grant;
+use cornelridge_fleet::ledger;
 use cornelridge_store::items;
 use http::{HeaderName, Method, StatusCode};
 
@@ -26,6 +27,17 @@
     pub not_executed: HeaderName,
     /// Set by a worker on each successful response.
     pub signature: HeaderName,
+    /// Handover token that a worker sets on the answer to a release.
+    pub handover: HeaderName,
+}
+
+/// A call to the worker in the format of the platform.
+#[derive(Clone, Debug)]
+pub struct EncodedCall {
+    /// Path of the call.
+    pub path: &'static str,
+    /// Body of the call.
+    pub body: Bytes,
 }
 
 /// A call of the worker to the report address.
@@ -75,6 +87,9 @@
 
     /// Encodes the reply to a report; `None` grants and renews nothing.
     fn encode_reply(&self, reply: Option<&grant::GrantReply>) -> Bytes;
+
+    /// Encodes a call to the worker.
+    fn encode_call(&self, order: &ledger::CallOrder) -> EncodedCall;
 }
 
 /// A function that returns the text of the metrics.
--- a/crates/sidecar/src/connections.rs
+++ b/crates/sidecar/src/connections.rs
@@ -1,6 +1,7 @@
 //! Pool of connections to the worker.
 
 use std::net;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
@@ -71,6 +72,8 @@
     address: net::SocketAddr,
     idle: Mutex<Vec<IdleConnection>>,
     reuse_restricted_until: Mutex<time::Instant>,
+    /// When a connection was closed last, by either side, in microseconds of the clock.
+    closed_at: Arc<AtomicU64>,
 }
 
 #[derive(Debug)]
@@ -103,8 +106,34 @@
 
 impl ConnectionPool {
     pub(crate) fn new(address: net::SocketAddr) -> Arc<ConnectionPool> {
-        let idle = Mutex::default();
-        Arc::new(ConnectionPool { address, idle, reuse_restricted_until: Mutex::default() })
+        Arc::new(ConnectionPool {
+            address,
+            idle: Mutex::default(),
+            reuse_restricted_until: Mutex::default(),
+            closed_at: Arc::default(),
+        })
+    }
+
+    /// Returns when a connection was closed last; the worker may have ended at that time.
+    pub(crate) fn closed_at(&self) -> time::Instant {
+        time::Instant(self.closed_at.load(Ordering::Relaxed))
+    }
+
+    /// Returns the idle connection that was used last.
+    pub(crate) async fn take_open(self: &Arc<ConnectionPool>) -> Option<PooledConnection> {
+        while let Some(mut connection) = self.take_idle("", true) {
+            if let Some(Ok(())) = clock::timeout(READY_TIMEOUT, connection.sender.ready()).await {
+                return Some(self.pooled(connection, true));
+            }
+        }
+        None
+    }
+
+    /// Opens a new connection.
+    pub(crate) async fn open(self: &Arc<ConnectionPool>) -> Result<PooledConnection, ConnectError> {
+        let connection = connect(self.address, Arc::clone(&self.closed_at)).await?;
+        metrics::counter!(crate::meter::WORKER_CONNECTIONS).increment(1);
+        Ok(self.pooled(connection, false))
     }
 
     /// Closes all idle connections.
@@ -129,9 +158,7 @@
                 return Ok(self.pooled(connection, true));
             }
         }
-        let connection = connect(self.address).await?;
-        metrics::counter!(crate::meter::WORKER_CONNECTIONS).increment(1);
-        Ok(self.pooled(connection, false))
+        self.open().await
     }
 
     fn pooled(
@@ -213,7 +240,10 @@
     }
 }
 
-async fn connect(address: net::SocketAddr) -> Result<WorkerConnection, ConnectError> {
+async fn connect(
+    address: net::SocketAddr,
+    closed_at: Arc<AtomicU64>,
+) -> Result<WorkerConnection, ConnectError> {
     let read_limit = bounded::ReadLimit::default();
     let attempt = async {
         let stream =
@@ -236,6 +266,7 @@
         if let Err(error) = connection.await {
             log::debug!(error:% = error; "connection to the worker failed");
         }
+        closed_at.fetch_max(clock::now().0, Ordering::Relaxed);
     })
     .detach();
     Ok(WorkerConnection { sender, read_limit, refused_requests: Vec::new() })
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -2,7 +2,8 @@
 //! requests to its worker pass. Routes, other nodes and the owners of keys are read from a store.
 //!
 //! [`node::SidecarNode::start`] starts two paths: requests pass through `ingress`, `forward`,
-//! `peers` and `dispatch`; control passes through `follow`, `session`, `reports` and `planning`.
+//! `peers` and `dispatch`; control passes through `follow`, `session`, `reports`, `grant_calls` and
+//! `planning`.
 //!
 //! ```
 //! use cornelridge_sidecar::clock;
@@ -25,6 +26,7 @@
 mod dispatch;
 mod follow;
 mod forward;
+mod grant_calls;
 mod http_server;
 mod in_flight;
 mod ingress;
--- a/crates/sidecar/src/meter.rs
+++ b/crates/sidecar/src/meter.rs
@@ -25,6 +25,9 @@
 /// Changes of the owner of a range that this node made; label `reason`.
 pub(crate) const RANGE_CHANGES: &str = "cornelridge_range_changes_total";
 
+/// Grant calls to the worker; labels `order`, which is `grant` or `release`, and `outcome`.
+pub(crate) const GRANT_CALLS: &str = "cornelridge_grant_calls_total";
+
 /// Requests whose caller closed its connection before the response; label `route`.
 pub(crate) const CALLERS_LEFT: &str = "cornelridge_callers_left_total";
 /// Requests whose caller left while they were at the worker's node; labels `route` and `end`, which
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 
 use cornelridge_fleet::budget;
+use cornelridge_fleet::grant;
 use cornelridge_fleet::member;
 use cornelridge_fleet::route;
 use cornelridge_fleet::selection;
@@ -22,6 +23,7 @@
 use crate::feed;
 use crate::follow;
 use crate::forward;
+use crate::grant_calls;
 use crate::http_server;
 use crate::in_flight;
 use crate::ingress;
@@ -222,6 +224,15 @@
             max_hold: self.settings.max_hold,
             entry_changed: Arc::clone(&self.entry_changed),
         });
+        if self.settings.grant_delivery == grant::GrantDelivery::Calls {
+            let caller = grant_calls::GrantCaller {
+                local_worker: Arc::clone(local_worker),
+                view: Arc::clone(view),
+                format: Arc::clone(&adapter.format),
+                max_hold: self.settings.max_hold,
+            };
+            smol::spawn(caller.run()).detach();
+        }
         let entry_changed = Arc::clone(&self.entry_changed);
         let local_worker = Arc::clone(local_worker);
         smol::spawn(async move {
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use cornelridge_fleet::budget;
+use cornelridge_fleet::grant;
 use cornelridge_model::time;
 
 /// Settings of one node.
@@ -29,6 +30,8 @@
     pub metrics: Option<net::SocketAddr>,
     /// Largest outgoing rate of the host, in bytes per second.
     pub link_bytes_per_second: u64,
+    /// How grants reach the worker.
+    pub grant_delivery: grant::GrantDelivery,
     /// Longest time for which a worker accepts a grant.
     pub max_hold: time::Duration,
     /// Time between the request to stop and the forced end of the process.
--- a/crates/sidecar/src/worker.rs
+++ b/crates/sidecar/src/worker.rs
@@ -1,6 +1,6 @@
 //! State of the worker beside the node: its reports, grants, slots and connections.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -55,6 +55,9 @@
     pub(crate) address: net::SocketAddr,
     /// Connections to the worker.
     pub(crate) pool: Arc<connections::ConnectionPool>,
+    /// Connections for grant calls. One of them stays open, so that its end shows the end of the
+    /// worker.
+    pub(crate) call_pool: Arc<connections::ConnectionPool>,
     drain: time::Duration,
     grants: Mutex<grant::WorkerGrants>,
     registration: Mutex<registration::EntryRegistration>,
@@ -66,7 +69,9 @@
     rates: Mutex<rates::KeyRates>,
     waiting: Mutex<HashMap<admission::AdmissionKey, channel::Sender<AdmissionResult>>>,
     /// Number of admitted or queued requests by request identifier.
-    running: Mutex<HashMap<Arc<str>, usize>>,
+    running: Mutex<BTreeMap<Arc<str>, usize>>,
+    /// Number of admitted or queued requests by key.
+    running_keys: Mutex<BTreeMap<u16, usize>>,
     /// Requests that were sent to the worker, from which those that ran at a crash are determined.
     runs: Mutex<runs::RunTracker>,
     /// Requests that may crash workers.
@@ -91,6 +96,8 @@
     local_worker: Arc<LocalWorker>,
     key: admission::AdmissionKey,
     request: Arc<str>,
+    /// Key of the request, if its service is divided.
+    divided_key: Option<u16>,
     started: time::Instant,
     is_finished: bool,
 }
@@ -104,11 +111,14 @@
     ) -> LocalWorker {
         let now = clock::now();
         let address = settings.worker;
+        let node = Arc::clone(&settings.node);
+        let grants = grant::WorkerGrants::new(node, settings.grant_delivery, now);
         LocalWorker {
             address,
             pool: connections::ConnectionPool::new(address),
+            call_pool: connections::ConnectionPool::new(address),
             drain: settings.drain,
-            grants: Mutex::new(grant::WorkerGrants::new(Arc::clone(&settings.node), now)),
+            grants: Mutex::new(grants),
             pacer,
             link_refusals: AtomicU64::new(0),
             registration: Mutex::default(),
@@ -116,6 +126,7 @@
             rates: Mutex::new(rates::KeyRates::new(now)),
             waiting: Mutex::default(),
             running: Mutex::default(),
+            running_keys: Mutex::default(),
             runs: Mutex::new(runs::RunTracker::new()),
             suspects,
             suspect_lock: Arc::default(),
@@ -192,6 +203,11 @@
         lock(&self.running).contains_key(id)
     }
 
+    /// Returns whether requests for keys of a range, given by its first and last keys, run or wait.
+    pub(crate) fn is_busy(&self, first: u16, last: u16) -> bool {
+        lock(&self.running_keys).range(first..=last).next().is_some()
+    }
+
     /// Records a request in the request rate of its key.
     pub(crate) fn record_key_request(&self, key: u16) {
         lock(&self.rates).record(clock::now(), key);
@@ -203,7 +219,7 @@
         let grants = self.grants();
         let Some(report) = grants.current_report() else { return generated::LoadAnswer::default() };
         let (service, worker) = (report.service.to_string(), report.name.0.to_string());
-        let range_rates = lock(&self.rates).range_rates(now, grants.granted());
+        let range_rates = lock(&self.rates).range_rates(now, grants.granted().into_iter());
         let ranges = range_rates.into_iter().map(|rate| generated::RangeLoad {
             first: u32::from(rate.first),
             rate: rate.rate,
@@ -218,6 +234,7 @@
     /// Resets the connections and the queue for a new incarnation of the worker.
     pub(crate) fn handle_restart(&self, slots: u32) {
         self.pool.clear();
+        self.call_pool.clear();
         let actions = lock(&self.queue).restart(clock::now(), slots);
         self.apply(actions);
         self.notify();
@@ -232,6 +249,7 @@
     /// Closes the idle connections and refuses all waiting requests, because the worker has ended.
     pub(crate) fn handle_end(&self) {
         self.pool.clear();
+        self.call_pool.clear();
         let actions = lock(&self.queue).clear();
         self.apply(actions);
         self.notify();
@@ -276,7 +294,7 @@
         let (sender, receiver) = channel::bounded(1);
         lock(&self.waiting).insert(key, sender);
         // Dropping the permit early removes the request from the queue.
-        let mut permit = SlotPermit::new(self, key, &request.id, arrived);
+        let mut permit = SlotPermit::new(self, key, request, arrived);
         let decision = lock(&self.queue).offer(arrived, key, admission);
         let result = match decision {
             admission::AdmissionDecision::Run => Ok(()),
@@ -489,12 +507,16 @@
     fn new(
         local_worker: &Arc<LocalWorker>,
         key: admission::AdmissionKey,
-        request: &Arc<str>,
+        request: &request::FleetRequest,
         now: time::Instant,
     ) -> SlotPermit {
-        *lock(&local_worker.running).entry(Arc::clone(request)).or_default() += 1;
-        let (local_worker, request) = (Arc::clone(local_worker), Arc::clone(request));
-        SlotPermit { local_worker, key, request, started: now, is_finished: false }
+        *lock(&local_worker.running).entry(Arc::clone(&request.id)).or_default() += 1;
+        if let Some(divided_key) = request.key {
+            *lock(&local_worker.running_keys).entry(divided_key).or_default() += 1;
+        }
+        let (local_worker, divided_key) = (Arc::clone(local_worker), request.key);
+        let request = Arc::clone(&request.id);
+        SlotPermit { local_worker, key, request, divided_key, started: now, is_finished: false }
     }
 
     /// Returns the time at which the request got the slot.
@@ -536,16 +558,22 @@
     }
 }
 
+/// Decrements the count of a key, which is removed at zero.
+fn decrement<K: Ord>(counts: &mut BTreeMap<K, usize>, key: &K) {
+    if let Some(count) = counts.get_mut(key) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(key);
+        }
+    }
+}
+
 impl Drop for SlotPermit {
     fn drop(&mut self) {
-        let mut running = lock(&self.local_worker.running);
-        if let Some(count) = running.get_mut(&self.request) {
-            *count -= 1;
-            if *count == 0 {
-                running.remove(&self.request);
-            }
+        decrement(&mut lock(&self.local_worker.running), &self.request);
+        if let Some(divided_key) = &self.divided_key {
+            decrement(&mut lock(&self.local_worker.running_keys), divided_key);
         }
-        drop(running);
         lock(&self.local_worker.runs).record_interrupted(clock::now(), self.run_key());
         if self.is_finished {
             return;
--- a/crates/sidecar/tests/nodes/standin/mod.rs
+++ b/crates/sidecar/tests/nodes/standin/mod.rs
@@ -10,7 +10,7 @@
 use std::time::Duration as StdDuration;
 
 use bytes::Bytes;
-use cornelridge_fleet::{budget, config, grant, member};
+use cornelridge_fleet::{budget, config, grant, ledger, member};
 use cornelridge_model::class::KeyDivision;
 use cornelridge_model::time::Duration;
 use cornelridge_sidecar::{adapter, node, settings};
@@ -45,6 +45,15 @@
     pub(crate) hold_ms: u64,
 }
 
+/// A call that grants keys to a stand-in worker or takes them back.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct StandInCall {
+    pub(crate) first: u16,
+    pub(crate) last: u16,
+    pub(crate) fence: u64,
+    pub(crate) handover: String,
+}
+
 /// Formats of a stand-in for the users' platform.
 pub(crate) struct StandInFormat {
     headers: adapter::HeaderNames,
@@ -121,6 +130,19 @@
         });
         serde_json::to_vec(&reply).unwrap().into()
     }
+
+    fn encode_call(&self, order: &ledger::CallOrder) -> adapter::EncodedCall {
+        let (path, first, last, fence, handover) = match order {
+            ledger::CallOrder::Grant(range, _) => {
+                ("/grant", range.first, range.last, range.fence, &*range.handover)
+            }
+            ledger::CallOrder::Release(range) => {
+                ("/release", range.first, range.last, range.fence, "")
+            }
+        };
+        let call = StandInCall { first, last, fence, handover: handover.to_owned() };
+        adapter::EncodedCall { path, body: serde_json::to_vec(&call).unwrap().into() }
+    }
 }
 
 fn route(name: &str, prefix: &str, service: &str, retry: config::RetryRule) -> config::RouteConfig {
@@ -227,6 +249,7 @@
                 expected_worker: HeaderName::from_static("x-worker"),
                 not_executed: HeaderName::from_static("x-not-executed"),
                 signature: HeaderName::from_static("x-signature"),
+                handover: HeaderName::from_static("x-handover"),
             },
             config: Mutex::new(fleet_config()),
         });
@@ -257,6 +280,7 @@
             reports: any,
             metrics: None,
             link_bytes_per_second: LINK_BYTES_PER_SECOND,
+            grant_delivery: grant::GrantDelivery::Replies,
             max_hold: Duration::from_secs(10),
             grace: Duration::from_secs(20),
             drain: Duration::from_secs(2),
--- a/crates/sidecar/tests/nodes/standin/worker.rs
+++ b/crates/sidecar/tests/nodes/standin/worker.rs
@@ -18,7 +18,7 @@
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::FuturesIo;
 
-use super::{StandInReply, StandInReport, script, send};
+use super::{StandInCall, StandInReply, StandInReport, script, send};
 
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Time from the exit of a worker to its next start.
@@ -61,6 +61,21 @@
     Script,
 }
 
+/// How a worker answers grant calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallBehaviour {
+    /// Applies the call.
+    Apply,
+    /// Doesn't apply the call, and sends an endless body.
+    FloodBody,
+    /// Doesn't apply the call, and breaks off.
+    Reset,
+    /// Doesn't apply the call, and answers with a status that has no meaning here.
+    OddStatus,
+    /// Claims that a higher fencing token was seen.
+    Conflict,
+}
+
 struct WorkerState {
     id: String,
     service: String,
@@ -70,6 +85,9 @@
     headers: Mutex<HashMap<String, HeaderMap>>,
     aborted: Mutex<Vec<String>>,
     holds: Mutex<Vec<(u16, u16, u64)>>,
+    call_behaviour: Mutex<CallBehaviour>,
+    /// Incarnation and content of each grant that was applied.
+    grants: Mutex<Vec<(u64, StandInCall)>>,
     is_leaving: AtomicBool,
     active_floods: AtomicUsize,
     started_floods: AtomicUsize,
@@ -107,6 +125,8 @@
             headers: Mutex::default(),
             aborted: Mutex::default(),
             holds: Mutex::default(),
+            call_behaviour: Mutex::new(CallBehaviour::Apply),
+            grants: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             active_floods: AtomicUsize::new(0),
             started_floods: AtomicUsize::new(0),
@@ -127,6 +147,7 @@
             smol::Timer::after(DOWN_TIME).await;
             listener = TcpListener::bind(self.address).await.unwrap();
             self.state.is_leaving.store(false, Ordering::Relaxed);
+            self.state.holds.lock().unwrap().clear();
             self.state.incarnation.store(next, Ordering::Relaxed);
         }
     }
@@ -223,6 +244,47 @@
         self.state.released.notify(usize::MAX);
     }
 
+    pub(crate) fn set_call_behaviour(&self, behaviour: CallBehaviour) {
+        *self.state.call_behaviour.lock().unwrap() = behaviour;
+    }
+
+    /// Returns the grants that were applied, with the incarnation that applied them.
+    pub(crate) fn grants(&self) -> Vec<(u64, StandInCall)> {
+        self.state.grants.lock().unwrap().clone()
+    }
+
+    async fn answer_call(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<WorkerBody>, &'static str> {
+        let is_grant = request.uri().path() == "/grant";
+        let body = request.into_body().collect().await.map_err(|_| "caller left")?.to_bytes();
+        let call: StandInCall = serde_json::from_slice(&body).map_err(|_| "malformed call")?;
+        let behaviour = *self.state.call_behaviour.lock().unwrap();
+        match behaviour {
+            CallBehaviour::Apply => {}
+            CallBehaviour::FloodBody => {
+                return Ok(self.endless_response("flood", FLOOD_CHUNK, Duration::ZERO));
+            }
+            CallBehaviour::Reset => return Err("reset"),
+            CallBehaviour::OddStatus => return Ok(response_to(StatusCode::IM_A_TEAPOT, "", false)),
+            CallBehaviour::Conflict => return Ok(response_to(StatusCode::CONFLICT, "", false)),
+        }
+        let mut holds = self.state.holds.lock().unwrap();
+        let before = holds.len();
+        holds.retain(|(first, last, _)| *first > call.last || *last < call.first);
+        let mut response = response_to(StatusCode::OK, "", false);
+        if is_grant {
+            holds.push((call.first, call.last, call.fence));
+            let incarnation = self.state.incarnation.load(Ordering::Relaxed);
+            self.state.grants.lock().unwrap().push((incarnation, call));
+        } else if holds.len() < before {
+            let handover = format!("{}-{}", self.state.id, call.fence);
+            response.headers_mut().insert("x-handover", handover.parse().unwrap());
+        }
+        Ok(response)
+    }
+
     /// Counts a run of a request.
     pub(crate) fn record_run(&self, id: &str) {
         *self.state.runs.lock().unwrap().entry(id.to_owned()).or_default() += 1;
@@ -276,6 +338,9 @@
     }
 
     async fn run(&self, request: Request<Incoming>) -> Result<Response<WorkerBody>, &'static str> {
+        if matches!(request.uri().path(), "/grant" | "/release") {
+            return self.answer_call(request).await;
+        }
         let text = |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok());
         let id = text("x-request").unwrap_or_default().to_owned();
         self.state.headers.lock().unwrap().insert(id.clone(), request.headers().clone());
