Send the configuration to followers in the feed

Ruled out: longer watches, as they bound the time for which a silent connection goes unnoticed; the configuration among the items of the log, as its revision may be older than a frame that was sent.

Change: a node that serves a feed sends the configuration in force in a frame of its own when it is newer than what was sent; a follower keeps no watch of it, and reads it from the store only if other nodes have a newer one for two checks. The sources of a feed are found without a list of all members.

Test: followers_ask_the_store_for_no_configuration fails without the change.

--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -188,6 +188,11 @@
         self.members.values().map(|known| &known.entry)
     }
 
+    /// Returns the entries of the serving members in the order of their names.
+    pub fn serving(&self) -> impl Iterator<Item = &Arc<MemberEntry>> {
+        self.iter().filter(|entry| entry.state == MemberState::Serving)
+    }
+
     /// Returns the position of `node` among the serving members; other nodes come last.
     pub fn rank(&self, node: &str) -> usize {
         self.rank_excluding(node, &BTreeSet::new())
@@ -195,10 +200,8 @@
 
     /// Returns the position of `node` as `rank` does, without counting the members in `excluded`.
     pub fn rank_excluding(&self, node: &str, excluded: &BTreeSet<Arc<str>>) -> usize {
-        let is_counted = |entry: &&Arc<MemberEntry>| {
-            entry.state == MemberState::Serving && !excluded.contains(&entry.node)
-        };
-        self.iter().filter(is_counted).take_while(|entry| &*entry.node != node).count()
+        let counted = self.serving().filter(|entry| !excluded.contains(&entry.node));
+        counted.take_while(|entry| &*entry.node != node).count()
     }
 
     /// Returns the member whose worker is `worker`.
--- a/crates/sidecar/src/feed.rs
+++ b/crates/sidecar/src/feed.rs
@@ -3,7 +3,7 @@
 //! Each watch call of the store has a price and returns at each change, so that the number of calls
 //! would grow with the square of the number of nodes. Only the first members watch the store. The
 //! others follow one of them, and watch the store only while none can be followed. Items received
-//! from another node aren't passed on.
+//! from another node aren't passed on. A feed contains the configuration, too.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -16,6 +16,7 @@
 use cornelridge_wire::{generated, transport};
 use xxhash_rust::xxh3;
 
+use crate::adapter;
 use crate::clock;
 use crate::follow;
 use crate::peers;
@@ -39,9 +40,9 @@
 const MAX_RENEWAL_AGE: time::Duration = time::Duration::from_millis(2_000);
 /// Number of removals that are kept. A feed that is further behind restarts with a complete frame.
 const MAX_REMOVALS: usize = 1_024;
-/// Largest size of the items in one frame, in bytes; far below the limit of a frame that carries a
-/// document.
-const MAX_FRAME_BYTES: usize = 256 * 1024;
+/// Largest size of the items in one frame, in bytes; three quarters of the limit of a frame that
+/// carries a document.
+const MAX_FRAME_BYTES: usize = 768 * 1024;
 
 /// The current items of the store and the latest removals.
 #[derive(Debug, Default)]
@@ -101,12 +102,7 @@
         let is_complete = after.is_none();
         let (revision, _) = after.unwrap_or_default();
         let written = self.items.values().filter(|item| item.revision > revision);
-        let written = written.map(|item| generated::FeedItem {
-            key: item.key.to_string(),
-            value: item.value.to_vec(),
-            revision: item.revision,
-            is_removed: false,
-        });
+        let written = written.map(feed_item);
         let removed = self.removals.iter().filter(|(at, _)| !is_complete && *at > revision);
         let removed = removed.map(|(at, key)| generated::FeedItem {
             key: key.to_string(),
@@ -165,27 +161,32 @@
     mut writer: transport::FrameWriter,
 ) {
     let mut cursor = FeedCursor::new(min_revision);
+    let mut config_revision = 0;
     let reads_store = || !view.is_following.load(Ordering::Relaxed);
     while reads_store()
         && local_worker.registration().is_renewed_within(clock::now(), MAX_RENEWAL_AGE)
     {
         let frame = cursor.next(&lock(&view.items));
         if let Some(frame) = frame {
-            let size: usize =
-                frame.items.iter().map(|item| item.key.len() + item.value.len()).sum();
-            if size > MAX_FRAME_BYTES {
-                log::warn!(bytes = size; "feed refused: the items exceed the size of a frame");
+            let revision = frame.revision;
+            if !send_frame(&mut writer, &frame).await {
                 return;
             }
-            if let Err(error) = writer.send_document(&frame).await {
-                log::debug!(error:% = error; "feed to a follower ended");
-                return;
+            if let Some(config) = view.config_item_after(config_revision) {
+                config_revision = config.revision;
+                let items = vec![feed_item(&config)];
+                let frame = generated::FeedFrame { revision, is_complete: false, items };
+                if !send_frame(&mut writer, &frame).await {
+                    return;
+                }
             }
         }
         let until = clock::now() + HEARTBEAT_INTERVAL;
         loop {
             let changed = view.changed();
-            if cursor.has_changes(&lock(&view.items)) || clock::now() >= until {
+            let has_changes = cursor.has_changes(&lock(&view.items))
+                || view.config_item_after(config_revision).is_some();
+            if has_changes || clock::now() >= until {
                 break;
             }
             clock::timeout_at(until, changed).await;
@@ -193,9 +194,33 @@
     }
 }
 
+/// Sends a frame; returns whether the feed can go on.
+async fn send_frame(writer: &mut transport::FrameWriter, frame: &generated::FeedFrame) -> bool {
+    let size: usize = frame.items.iter().map(|item| item.key.len() + item.value.len()).sum();
+    if size > MAX_FRAME_BYTES {
+        log::warn!(bytes = size; "feed refused: the items exceed the size of a frame");
+        return false;
+    }
+    if let Err(error) = writer.send_document(frame).await {
+        log::debug!(error:% = error; "feed to a follower ended");
+        return false;
+    }
+    true
+}
+
+fn feed_item(item: &items::StoredItem) -> generated::FeedItem {
+    generated::FeedItem {
+        key: item.key.to_string(),
+        value: item.value.to_vec(),
+        revision: item.revision,
+        is_removed: false,
+    }
+}
+
 /// Receives the feed of another node in place of watching the store.
 pub(crate) struct FeedReader {
     pub(crate) node: Arc<str>,
+    pub(crate) format: Arc<dyn adapter::FormatAdapter>,
     pub(crate) view: Arc<view::FleetView>,
     pub(crate) links: peers::PeerLinks,
 }
@@ -224,16 +249,12 @@
     /// watches the store itself.
     fn sources(&self) -> Vec<Arc<member::MemberEntry>> {
         let directory = self.view.directory();
-        let serving: Vec<Arc<member::MemberEntry>> = directory
-            .iter()
-            .filter(|entry| entry.state == member::MemberState::Serving)
-            .map(Arc::clone)
-            .collect();
-        if serving.len() < MIN_MEMBERS || directory.rank(&self.node) < SOURCE_COUNT {
+        let first: Vec<&Arc<member::MemberEntry>> = directory.serving().take(MIN_MEMBERS).collect();
+        let mut sources: Vec<Arc<member::MemberEntry>> =
+            first.iter().take(SOURCE_COUNT).map(|entry| Arc::clone(entry)).collect();
+        if first.len() < MIN_MEMBERS || sources.iter().any(|entry| entry.node == self.node) {
             return Vec::new();
         }
-        let mut sources: Vec<Arc<member::MemberEntry>> =
-            serving.into_iter().take(SOURCE_COUNT).collect();
         let start = xxh3::xxh3_64(self.node.as_bytes()) as usize % sources.len();
         sources.rotate_left(start);
         sources
@@ -279,7 +300,13 @@
             follow::replace_all(&self.view, &items::ItemList { items, revision });
             return;
         }
-        if frame.items.is_empty() {
+        let config_key = self.format.config_key();
+        let (configs, others): (Vec<_>, Vec<_>) =
+            frame.items.into_iter().partition(|item| item.key == config_key);
+        for config in configs {
+            follow::apply_config(&self.view, &*self.format, &item(config));
+        }
+        if others.is_empty() {
             return;
         }
         let event = |feed: generated::FeedItem| match feed.is_removed {
@@ -289,7 +316,7 @@
             }
             false => items::ItemEvent::Written(item(feed)),
         };
-        let events = frame.items.into_iter().map(event).collect();
+        let events = others.into_iter().map(event).collect();
         follow::apply_events(&self.view, &items::ItemEvents { events, revision });
     }
 }
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -301,7 +301,8 @@
     Ok(events.revision.max(revision))
 }
 
-/// Follows the configuration until the process ends.
+/// Follows the configuration until the process ends. While the node follows the feed of another
+/// node, that feed contains the configuration, and the store isn't asked.
 pub(crate) async fn follow_config(
     store: Arc<dyn items::ItemStore>,
     view: Arc<view::FleetView>,
@@ -312,7 +313,17 @@
         let result = match revision {
             None => read_config(&*store, &view, &*format).await,
             Some(revision) => {
-                let watch = watch_config(&*store, &view, &*format, revision);
+                let watch = async {
+                    if view.is_following.load(Ordering::Relaxed) {
+                        await_feed_end(&view).await;
+                    }
+                    let followed = async {
+                        await_feed(&view).await;
+                        Ok(revision)
+                    };
+                    let watch = watch_config(&*store, &view, &*format, revision);
+                    future::or(watch, followed).await
+                };
                 let outdated = async {
                     await_newer_config(&view).await;
                     log::info!(
@@ -338,6 +349,20 @@
     }
 }
 
+/// Completes when the node follows the feed of another node.
+async fn await_feed(view: &view::FleetView) {
+    while !view.is_following.load(Ordering::Relaxed) {
+        clock::sleep(CONFIG_CHECK_INTERVAL).await;
+    }
+}
+
+/// Completes when the node follows no feed any more.
+async fn await_feed_end(view: &view::FleetView) {
+    while view.is_following.load(Ordering::Relaxed) {
+        clock::sleep(CONFIG_CHECK_INTERVAL).await;
+    }
+}
+
 /// Completes when two checks in a row have found that another node has a newer configuration.
 async fn await_newer_config(view: &view::FleetView) {
     loop {
@@ -388,7 +413,8 @@
     Ok(events.revision.max(revision))
 }
 
-fn apply_config(
+/// Puts a configuration in force if it is valid and newer than the current one.
+pub(crate) fn apply_config(
     view: &view::FleetView,
     format: &dyn adapter::FormatAdapter,
     item: &items::StoredItem,
@@ -396,7 +422,7 @@
     match format.decode_config(&item.value) {
         Ok(config) => {
             let version = config.version;
-            if let Some(before) = view.set_config(config) {
+            if let Some(before) = view.set_config(config, item) {
                 view.observe_config_version(version);
                 log::info!(version, before, revision = item.revision; "configuration in force");
             }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -198,6 +198,7 @@
         let (store, view) = (&adapter.store, &self.view);
         let reader = feed::FeedReader {
             node: Arc::clone(&base.node),
+            format: Arc::clone(&adapter.format),
             view: Arc::clone(view),
             links: links.clone(),
         };
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -7,6 +7,7 @@
 use cornelridge_fleet::member;
 use cornelridge_fleet::range;
 use cornelridge_fleet::route;
+use cornelridge_store::items;
 use cornelridge_wire::identity;
 use event_listener::{Event, EventListener};
 
@@ -32,6 +33,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct FleetView {
     config: Mutex<Option<Arc<ActiveConfig>>>,
+    /// The item of the configuration in force, for the feeds to other nodes.
+    config_item: Mutex<Option<items::StoredItem>>,
     directory: Mutex<member::MemberDirectory>,
     ranges: Mutex<range::RangeTable>,
     changed: Event,
@@ -59,9 +62,18 @@
         lock(&self.config).clone()
     }
 
+    /// Returns the item of the configuration in force if it is newer than `revision`.
+    pub(crate) fn config_item_after(&self, revision: u64) -> Option<items::StoredItem> {
+        lock(&self.config_item).clone().filter(|item| item.revision > revision)
+    }
+
     /// Puts a configuration in force if its version is higher; returns the version that it
-    /// replaces.
-    pub(crate) fn set_config(&self, config: config::FleetConfig) -> Option<u64> {
+    /// replaces. `item` is the item that it was decoded from.
+    pub(crate) fn set_config(
+        &self,
+        config: config::FleetConfig,
+        item: &items::StoredItem,
+    ) -> Option<u64> {
         let mut current = lock(&self.config);
         let before = current.as_ref().map_or(0, |current| current.config.version);
         if config.version <= before {
@@ -70,6 +82,7 @@
         let routes = route::RouteTable::new(&config.routes);
         *current = Some(Arc::new(ActiveConfig { config, routes }));
         drop(current);
+        *lock(&self.config_item) = Some(item.clone());
         self.notify();
         Some(before)
     }
--- a/crates/sidecar/tests/nodes/following.rs
+++ b/crates/sidecar/tests/nodes/following.rs
@@ -84,3 +84,24 @@
         assert_eq!(feed_count, 3, "only nodes that watch the store serve feeds");
     });
 }
+
+/// Guards against store calls for each version of the configuration that grow with the number of
+/// nodes: followers get the configuration from the feed.
+#[test]
+fn followers_ask_the_store_for_no_configuration() {
+    block_on(async {
+        let deployment = Deployment::start(&["desk"; 8]).await;
+        deployment.configure(1);
+        deployment.wait_until_served("/v1/x", None).await;
+        let store = &deployment.store;
+        wait_until("three nodes watch the configuration", || async {
+            store.config_watch_count() <= 3
+        })
+        .await;
+        let lists = store.config_lists();
+        deployment.configure(2);
+        deployment.wait_until_served("/v2/x", None).await;
+        assert_eq!(store.config_lists(), lists, "no node has read the configuration itself");
+        assert!(store.config_watch_count() <= 3);
+    });
+}
--- a/crates/sidecar/tests/nodes/standin/store.rs
+++ b/crates/sidecar/tests/nodes/standin/store.rs
@@ -38,6 +38,11 @@
     changed: Event,
     /// Number of pending watches, without those of the configuration.
     watch_count: AtomicUsize,
+    /// Number of pending watches of the configuration.
+    config_watch_count: AtomicUsize,
+    /// Number of list calls of the configuration and of the items of the nodes.
+    config_lists: AtomicUsize,
+    node_lists: AtomicUsize,
 }
 
 fn revision_of(event: &ItemEvent) -> u64 {
@@ -149,6 +154,21 @@
         self.watch_count.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of pending watches of the configuration.
+    pub(crate) fn config_watch_count(&self) -> usize {
+        self.config_watch_count.load(Ordering::Relaxed)
+    }
+
+    /// Returns how often the configuration was listed.
+    pub(crate) fn config_lists(&self) -> usize {
+        self.config_lists.load(Ordering::Relaxed)
+    }
+
+    /// Returns how often the items of the nodes were listed.
+    pub(crate) fn node_lists(&self) -> usize {
+        self.node_lists.load(Ordering::Relaxed)
+    }
+
     /// Applies the next `count` transactions without a response.
     pub(crate) fn lose_commits(&self, count: u32) {
         self.state.lock().unwrap().lost_commits = count;
@@ -216,6 +236,8 @@
 
 impl ItemStore for MemoryStore {
     fn list<'a>(&'a self, prefix: &'a str) -> ItemFuture<'a, ItemList> {
+        let lists = if prefix == "config" { &self.config_lists } else { &self.node_lists };
+        lists.fetch_add(1, Ordering::Relaxed);
         Box::pin(async move {
             let mut state = self.state.lock().unwrap();
             state.expire_leases()?;
@@ -239,7 +261,11 @@
             if self.state.lock().unwrap().are_watches_stalled {
                 return future::pending().await;
             }
-            let _guard = (prefix != "config").then(|| WatchGuard::new(&self.watch_count));
+            let count = match prefix {
+                "config" => &self.config_watch_count,
+                _ => &self.watch_count,
+            };
+            let _guard = WatchGuard::new(count);
             loop {
                 let changed = self.changed.listen();
                 let events = self.events(prefix, revision)?;
