Register with fewer calls, and plan at the first members only

Cause: at size each node computed the plan at each change and read all items twice at its start; the directory, the balance and complete lists were searched by comparing every name with every other.

Change: only the first four serving members plan; others commit what is theirs alone. A node beside a worker without keys writes its entry once, with its worker, and doesn't read the items again. Nodes that watch the store wait 100 ms (50 ms) between two watches that bring changes. Balance finds workers by an index and their rows in one pass; a complete list is compared by sets. A peer is asked for a frame after 300 ms (150 ms) of silence.

--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -77,6 +77,8 @@
     service: &'a Arc<str>,
     view: &'a LoadView,
     workers: Vec<WorkerLoad>,
+    /// Index of each worker in `workers`.
+    indices: HashMap<member::WorkerName, usize>,
     /// Load that is attributed to each key of a row.
     load_per_key: f64,
     /// Mean capacity of the workers, or infinity if no capacity is known. Requests of a row in
@@ -116,9 +118,18 @@
             let weight = mean * (capacity / mean).powf(exponent);
             WorkerLoad { holder, rows: 0, load: 0.0, capacity, weight }
         });
-        let workers = workers.collect();
-        let mut loads =
-            WorkerLoads { service, view, workers, load_per_key, max_row_load, is_measured };
+        let workers: Vec<WorkerLoad> = workers.collect();
+        let names = workers.iter().map(|worker| worker.holder.worker.clone());
+        let indices = names.zip(0..).collect();
+        let mut loads = WorkerLoads {
+            service,
+            view,
+            workers,
+            indices,
+            load_per_key,
+            max_row_load,
+            is_measured,
+        };
         for stored in ranges.rows() {
             let load = loads.row_load(&stored.row);
             let holder = stored.row.successor.as_ref().or(stored.row.owner.as_ref());
@@ -133,7 +144,7 @@
     }
 
     fn worker_mut(&mut self, worker: &member::WorkerName) -> Option<&mut WorkerLoad> {
-        self.workers.iter_mut().find(|known| known.holder.worker == *worker)
+        self.indices.get(worker).map(|index| &mut self.workers[*index])
     }
 
     fn measured_load(&self, row: &range::RangeRow) -> RowLoad {
@@ -153,12 +164,14 @@
         self.measured_load(row).rate >= self.max_row_load
     }
 
-    /// Returns whether a worker has a row that can be moved or split.
-    fn can_be_relieved(&self, ranges: &range::ServiceRanges, worker: &member::WorkerName) -> bool {
-        let mut rows = ranges.rows().filter(|stored| stored.row.is_held_by(worker));
-        rows.any(|stored| {
-            !self.saturates_worker(&stored.row) || self.split_point(&stored.row).is_some()
-        })
+    /// Returns the workers that have a row which can be moved or split, by their index.
+    fn relievable(&self, ranges: &range::ServiceRanges) -> HashSet<usize> {
+        let movable = ranges.rows().filter(|stored| {
+            stored.row.successor.is_none()
+                && (!self.saturates_worker(&stored.row) || self.split_point(&stored.row).is_some())
+        });
+        let owners = movable.filter_map(|stored| stored.row.owner.as_ref());
+        owners.filter_map(|owner| self.indices.get(&owner.worker).copied()).collect()
     }
 
     /// Returns the last key of the lower part if the row can be split.
@@ -182,7 +195,7 @@
 
     /// Returns whether a worker takes new requests.
     pub fn is_ready(&self, worker: &member::WorkerName) -> bool {
-        self.workers.iter().any(|known| known.holder.worker == *worker)
+        self.indices.contains_key(worker)
     }
 
     /// Returns the worker that is least loaded after it gets `load`, and adds the load to it.
@@ -240,10 +253,12 @@
 ) -> Option<plan::RangeChange> {
     let by_weighted_load =
         |a: &&WorkerLoad, b: &&WorkerLoad| a.weighted_load().total_cmp(&b.weighted_load());
-    let others = loads.workers.iter().filter(|worker| {
-        Some(&worker.holder) != split_holder && loads.can_be_relieved(ranges, &worker.holder.worker)
+    let relievable = loads.relievable(ranges);
+    let others = loads.workers.iter().enumerate();
+    let others = others.filter(|(index, worker)| {
+        Some(&worker.holder) != split_holder && relievable.contains(index)
     });
-    let most_loaded = others.max_by(by_weighted_load)?.clone();
+    let most_loaded = others.map(|(_, worker)| worker).max_by(by_weighted_load)?.clone();
     let least_loaded = loads.workers.iter().min_by(by_weighted_load)?.clone();
     if most_loaded.holder == least_loaded.holder {
         return None;
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -193,6 +193,11 @@
         self.iter().filter(|entry| entry.state == MemberState::Serving)
     }
 
+    /// Returns whether `node` is one of the first `count` serving members.
+    pub fn is_among_first(&self, node: &str, count: usize) -> bool {
+        self.serving().take(count).any(|entry| &*entry.node == node)
+    }
+
     /// Returns the position of `node` among the serving members; other nodes come last.
     pub fn rank(&self, node: &str) -> usize {
         self.rank_excluding(node, &BTreeSet::new())
--- a/crates/fleet/src/registration.rs
+++ b/crates/fleet/src/registration.rs
@@ -60,10 +60,9 @@
         self.ranges_loaded = false;
     }
 
-    /// Returns whether the entry exists, the ranges were read, and the last renewal is less than
-    /// `span` old.
+    /// Returns whether the entry was renewed less than `span` ago.
     pub fn is_renewed_within(&self, now: time::Instant, span: time::Duration) -> bool {
-        self.ranges_loaded && self.renewed_at.is_some_and(|renewed| now.since(renewed) < span)
+        self.renewed_at.is_some_and(|renewed| now.since(renewed) < span)
     }
 
     /// Returns how long a worker may still hold its keys by its own clock, which may run slow, or
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -1,5 +1,6 @@
 //! Keeps the view up to date with the configuration, the members and the ranges in the store.
 
+use std::collections::HashSet;
 use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -24,7 +25,7 @@
 /// noticed when its watch ends, so this bounds the undetected age of the view.
 const WATCH_TIMEOUT: time::Duration = time::Duration::from_millis(6_000);
 /// Delay after received changes, so that changes in quick succession are fetched by one call.
-const BATCH_DELAY: time::Duration = time::Duration::from_millis(50);
+const BATCH_DELAY: time::Duration = time::Duration::from_millis(100);
 /// The same delay for a node that watches the store only until it follows another node. When many
 /// nodes start, each new entry would otherwise wake all of them.
 const FOLLOWER_BATCH_DELAY: time::Duration = time::Duration::from_millis(400);
@@ -188,10 +189,21 @@
 /// Replaces the view by a complete list.
 pub(crate) fn replace_all(view: &view::FleetView, list: &items::ItemList) {
     list.items.iter().for_each(|item| apply_item(view, item));
-    let exists = |key: &str| list.items.iter().any(|item| &*item.key == key);
-    view.directory().retain(clock::now(), list.revision, |node| exists(&member_key(node)));
+    let (mut members, mut rows) = (HashSet::new(), HashSet::new());
+    for item in &list.items {
+        match parse_key(&item.key) {
+            Some(KeyKind::Member(node)) => {
+                members.insert(node);
+            }
+            Some(KeyKind::Range(service, first)) => {
+                rows.insert((service, first));
+            }
+            Some(KeyKind::Layout(_) | KeyKind::Refusal(_)) | None => {}
+        }
+    }
+    view.directory().retain(clock::now(), list.revision, |node| members.contains(node));
     for (service, ranges) in view.ranges().services_mut() {
-        ranges.retain(list.revision, |first| exists(&range_key(service, first)));
+        ranges.retain(list.revision, |first| rows.contains(&(&**service, first)));
     }
     lock(&view.items).replace(list);
     finish_batch(view, list.revision);
--- a/crates/sidecar/src/loads.rs
+++ b/crates/sidecar/src/loads.rs
@@ -64,7 +64,7 @@
     pub(crate) async fn run(self) {
         loop {
             clock::sleep(POLL_INTERVAL).await;
-            if self.view.directory().rank(&self.node) < COLLECTOR_COUNT {
+            if self.view.directory().is_among_first(&self.node, COLLECTOR_COUNT) {
                 self.poll().await;
             } else {
                 *lock(&self.snapshot) = LoadSnapshot::default();
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -209,6 +209,7 @@
             store: Arc::clone(store),
             view: Arc::clone(view),
             local_worker: Arc::clone(local_worker),
+            service: Arc::clone(&self.settings.service),
             base,
             changed: Arc::clone(&self.entry_changed),
             is_leaving: Arc::clone(&self.is_leaving),
--- a/crates/sidecar/src/planning.rs
+++ b/crates/sidecar/src/planning.rs
@@ -25,6 +25,9 @@
 /// Additional delay per member ranked before this one, so that usually only the first member
 /// commits a change, and the next one does if the first doesn't.
 const RANK_DELAY: time::Duration = time::Duration::from_millis(1_200);
+/// Number of members that plan; the others commit only the changes that are theirs alone. When all
+/// of these are lost, their entries end and others take their places.
+const PLANNER_COUNT: usize = 4;
 /// Number of ranks added for a node that reaches few others, since its plans may be wrong for the
 /// rest of the deployment.
 const ISOLATED_RANK_OFFSET: u64 = 3;
@@ -103,7 +106,8 @@
     }
 
     fn plan(&self, changed_at: time::Instant) -> Vec<plan::RangeChange> {
-        let Some(config) = self.view.config() else { return Vec::new() };
+        let is_planner = self.view.directory().is_among_first(&self.node, PLANNER_COUNT);
+        let Some(config) = self.view.config().filter(|_| is_planner) else { return Vec::new() };
         let services = config.config.services.iter();
         let divided: Vec<Arc<str>> = services
             .filter(|service| config.config.is_divided(&service.name))
--- a/crates/sidecar/src/session.rs
+++ b/crates/sidecar/src/session.rs
@@ -14,6 +14,13 @@
 use crate::view;
 use crate::worker;
 
+/// Longest wait for a first configuration before the entry is written.
+const MAX_CONFIG_WAIT: time::Duration = time::Duration::from_millis(300);
+/// Longest wait for the worker's first report before the entry is written: a report interval and
+/// the start of a slow host.
+const MAX_WORKER_WAIT: time::Duration = time::Duration::from_millis(1_500);
+/// Interval between two checks for the configuration and the worker's first report.
+const WORKER_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(20);
 /// Delay after a failed call to the store.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(250);
 
@@ -22,6 +29,8 @@
     pub(crate) store: Arc<dyn items::ItemStore>,
     pub(crate) view: Arc<view::FleetView>,
     pub(crate) local_worker: Arc<worker::LocalWorker>,
+    /// Service of the worker beside the node.
+    pub(crate) service: Arc<str>,
     /// The entry as at the start of the node; only its worker and state change later.
     pub(crate) base: member::MemberEntry,
     /// Notified when the entry may have to change.
@@ -51,7 +60,14 @@
 }
 
 impl EntryState {
-    fn next_step(&self, now: time::Instant, entry: &member::MemberEntry) -> Option<SessionStep> {
+    /// Returns the next call that is due; `may_hold_keys` tells whether the worker may be granted
+    /// keys.
+    fn next_step(
+        &self,
+        now: time::Instant,
+        entry: &member::MemberEntry,
+        may_hold_keys: bool,
+    ) -> Option<SessionStep> {
         if self.lease.0 == 0 {
             return Some(SessionStep::OpenLease);
         }
@@ -61,13 +77,14 @@
         if now >= self.renew_at {
             return Some(SessionStep::RenewLease);
         }
-        (!self.is_view_read).then_some(SessionStep::ReadView)
+        (may_hold_keys && !self.is_view_read).then_some(SessionStep::ReadView)
     }
 }
 
 impl EntrySession {
     /// Maintains the entry until the process ends.
     pub(crate) async fn run(self) {
+        let started = clock::now();
         let mut state = EntryState::default();
         let mut has_failed = false;
         loop {
@@ -80,7 +97,12 @@
                 self.reset(&mut state);
             }
             let entry = self.entry();
-            let Some(step) = state.next_step(clock::now(), &entry) else {
+            if state.lease.0 == 0 && self.should_await_worker(started) {
+                clock::timeout(WORKER_CHECK_INTERVAL, changed).await;
+                continue;
+            }
+            let may_hold_keys = self.may_hold_keys().unwrap_or(true);
+            let Some(step) = state.next_step(clock::now(), &entry, may_hold_keys) else {
                 clock::timeout_at(state.renew_at, changed).await;
                 continue;
             };
@@ -113,6 +135,26 @@
         }
     }
 
+    /// Returns whether the worker beside the node may be granted keys, or `None` before a
+    /// configuration is known.
+    fn may_hold_keys(&self) -> Option<bool> {
+        let config = self.view.config()?;
+        Some(config.config.is_divided(&self.service))
+    }
+
+    /// Returns whether the first write of the entry should wait for the worker's first report, so
+    /// that the entry is written once. The keys of a worker depend on the entry, and don't wait.
+    fn should_await_worker(&self, started: time::Instant) -> bool {
+        let age = clock::now().since(started);
+        match self.may_hold_keys() {
+            None => age < MAX_CONFIG_WAIT,
+            Some(true) => false,
+            Some(false) => {
+                age < MAX_WORKER_WAIT && self.local_worker.grants().reported_at().is_none()
+            }
+        }
+    }
+
     /// Resets the state after the entry was lost, so that registration starts over.
     fn reset(&self, state: &mut EntryState) {
         self.local_worker.registration().lost();
--- a/crates/sidecar/tests/nodes/following.rs
+++ b/crates/sidecar/tests/nodes/following.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::standin::store::MemoryStore;
 use crate::standin::{Deployment, wait_until};
 use cornelridge_fleet::member::{MemberEntry, MemberState};
 use cornelridge_store::items::ItemStore;
@@ -105,3 +106,18 @@
         assert!(store.config_watch_count() <= 3);
     });
 }
+
+/// Guards against store calls at the start that nodes beside workers without keys don't need: they
+/// list the members once, and write their entry once, with their worker.
+#[test]
+fn nodes_without_keys_register_with_few_calls() {
+    block_on(async {
+        let store: Arc<MemoryStore> = Arc::default();
+        store.put("config", "1");
+        let deployment = Deployment::start_with_store(store, &["desk"; 5]).await;
+        deployment.wait_until_served("/v1/x", None).await;
+        assert_eq!(deployment.store.node_lists(), 5);
+        let writes = deployment.store.write_count("cornelridge/nodes/");
+        assert_eq!(writes, 5, "one write of each entry");
+    });
+}
--- a/crates/sidecar/tests/nodes/standin/store.rs
+++ b/crates/sidecar/tests/nodes/standin/store.rs
@@ -154,6 +154,13 @@
         self.watch_count.load(Ordering::Relaxed)
     }
 
+    /// Returns how often items whose keys begin with `prefix` were written.
+    pub(crate) fn write_count(&self, prefix: &str) -> usize {
+        let state = self.state.lock().unwrap();
+        let is_write = |event: &&ItemEvent| matches!(event, ItemEvent::Written(item) if item.key.starts_with(prefix));
+        state.history.iter().filter(is_write).count()
+    }
+
     /// Returns the number of pending watches of the configuration.
     pub(crate) fn config_watch_count(&self) -> usize {
         self.config_watch_count.load(Ordering::Relaxed)
--- a/crates/wire/src/watchdog.rs
+++ b/crates/wire/src/watchdog.rs
@@ -12,6 +12,9 @@
 
 /// Time between two checks of the connections that have open streams.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(150);
+/// Number of checks without a frame from the peer after which the peer is asked for one. Most
+/// responses come before.
+const PING_AFTER_CHECKS: u32 = 2;
 /// Number of checks without a frame from the peer after which the connection gets no more streams.
 /// Including the first check, this takes at most 0.9 s. Checks are counted instead of time, so that
 /// a pause of this process, after which received packets are still unread in the socket, isn't
@@ -57,7 +60,9 @@
         if self.silent_checks == SILENT_AFTER_CHECKS {
             self.connection.set_silent(true);
         }
-        self.connection.ping();
+        if self.silent_checks >= PING_AFTER_CHECKS {
+            self.connection.ping();
+        }
         true
     }
 }
