Call a store that refuses less and less often

Change: the delay grows from 0.2 s to 1.5 s per task, at random by a quarter, and ends when another call of the node succeeds. The entry waits for a configuration, without which a node serves nobody.

Test: a_store_that_refuses_calls_gets_fewer_of_them (112 calls in 4 s before by the former delays, at most 36 now).

--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -14,6 +14,7 @@
 use thiserror::Error;
 
 use crate::adapter;
+use crate::backoff;
 use crate::clock;
 use crate::feed;
 use crate::view;
@@ -29,8 +30,6 @@
 /// The same delay for a node that watches the store only until it follows another node. When many
 /// nodes start, each new entry would otherwise wake all of them.
 const FOLLOWER_BATCH_DELAY: time::Duration = time::Duration::from_millis(400);
-/// Delay after a failed call.
-const RETRY_DELAY: time::Duration = time::Duration::from_millis(200);
 /// Interval between two checks for a newer configuration at another node. Two checks in a row must
 /// find one before the configuration is read again, so that the watch has time to deliver it.
 const CONFIG_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(250);
@@ -237,6 +236,7 @@
 ) {
     let mut revision = None;
     let mut has_failed = false;
+    let mut backoff = backoff::StoreBackoff::new();
     loop {
         if revision.is_some() {
             feed.follow().await;
@@ -256,6 +256,7 @@
                     log::info!(revision = next; "store recovered");
                 }
                 has_failed = false;
+                backoff.reset();
                 revision = Some(next);
             }
             Err(items::ItemError::Compacted) => {
@@ -273,7 +274,7 @@
                     );
                 }
                 has_failed = true;
-                clock::sleep(RETRY_DELAY).await;
+                backoff.wait_for_store(&view).await;
             }
         }
     }
@@ -321,6 +322,7 @@
     format: Arc<dyn adapter::FormatAdapter>,
 ) {
     let mut revision = None;
+    let mut backoff = backoff::StoreBackoff::new();
     loop {
         let result = match revision {
             None => read_config(&*store, &view, &*format).await,
@@ -348,14 +350,17 @@
             }
         };
         match result {
-            Ok(next) => revision = Some(next),
+            Ok(next) => {
+                backoff.reset();
+                revision = Some(next);
+            }
             Err(items::ItemError::Compacted) => revision = None,
             Err(error) => {
                 log::warn!(
                     error:% = error;
                     "configuration not read; the current one stays in force"
                 );
-                clock::sleep(RETRY_DELAY).await;
+                backoff.wait_for_store(&view).await;
             }
         }
     }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod response;
 pub mod settings;
 
+mod backoff;
 mod bounded;
 mod connections;
 mod dispatch;
--- a/crates/sidecar/src/session.rs
+++ b/crates/sidecar/src/session.rs
@@ -9,20 +9,17 @@
 use cornelridge_store::items;
 use event_listener::Event;
 
+use crate::backoff;
 use crate::clock;
 use crate::follow;
 use crate::view;
 use crate::worker;
 
-/// Longest wait for a first configuration before the entry is written.
-const MAX_CONFIG_WAIT: time::Duration = time::Duration::from_millis(300);
 /// Longest wait for the worker's first report before the entry is written: a report interval and
 /// the start of a slow host.
 const MAX_WORKER_WAIT: time::Duration = time::Duration::from_millis(1_500);
 /// Interval between two checks for the configuration and the worker's first report.
 const WORKER_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(20);
-/// Delay after a failed call to the store.
-const RETRY_DELAY: time::Duration = time::Duration::from_millis(250);
 
 /// Writes and renews the node's entry in the store.
 pub(crate) struct EntrySession {
@@ -87,6 +84,7 @@
         let started = clock::now();
         let mut state = EntryState::default();
         let mut has_failed = false;
+        let mut backoff = backoff::StoreBackoff::new();
         loop {
             let changed = self.changed.listen();
             if self.is_removed(&state) {
@@ -121,6 +119,7 @@
                     self.view.store_recovered.notify(usize::MAX);
                 }
                 has_failed = false;
+                backoff.reset();
                 continue;
             };
             log::warn!(
@@ -131,7 +130,7 @@
             if error == items::ItemError::LeaseEnded {
                 self.reset(&mut state);
             }
-            clock::sleep(RETRY_DELAY).await;
+            backoff.wait().await;
         }
     }
 
@@ -142,12 +141,13 @@
         Some(config.config.is_divided(&self.service))
     }
 
-    /// Returns whether the first write of the entry should wait for the worker's first report, so
-    /// that the entry is written once. The keys of a worker depend on the entry, and don't wait.
+    /// Returns whether the first write of the entry should wait. Without a configuration the node
+    /// serves nobody. Without keys the entry waits for the worker's first report, so that it is
+    /// written once; the keys of a worker depend on the entry, and don't wait.
     fn should_await_worker(&self, started: time::Instant) -> bool {
         let age = clock::now().since(started);
         match self.may_hold_keys() {
-            None => age < MAX_CONFIG_WAIT,
+            None => true,
             Some(true) => false,
             Some(false) => {
                 age < MAX_WORKER_WAIT && self.local_worker.grants().reported_at().is_none()
--- a/crates/sidecar/tests/nodes/following.rs
+++ b/crates/sidecar/tests/nodes/following.rs
@@ -121,3 +121,23 @@
         assert_eq!(writes, 5, "one write of each entry");
     });
 }
+
+/// Guards against calls all the time to a store that turns nodes away: the delay between two calls
+/// of a task grows from 0.2 s to 1.5 s.
+#[test]
+fn a_store_that_refuses_calls_gets_fewer_of_them() {
+    block_on(async {
+        let deployment = Deployment::start(&["desk", "desk"]).await;
+        deployment.configure(1);
+        deployment.wait_until_served("/v1/x", None).await;
+        let store = &deployment.store;
+        store.set_down(true);
+        smol::Timer::after(Duration::from_secs(4)).await;
+        // Three tasks of two nodes, with six calls each in that time at most.
+        let refused = store.refused_calls();
+        assert!(refused <= 36, "{refused} calls");
+        store.set_down(false);
+        deployment.configure(2);
+        deployment.wait_until_served("/v2/x", None).await;
+    });
+}
--- a/crates/sidecar/tests/nodes/standin/store.rs
+++ b/crates/sidecar/tests/nodes/standin/store.rs
@@ -21,6 +21,8 @@
     leases: HashMap<u64, (Instant, Duration)>,
     revision: u64,
     is_down: bool,
+    /// Number of calls that failed because the store was down.
+    refused_calls: usize,
     /// Whether watches that start now are never answered.
     are_watches_stalled: bool,
     /// Number of transactions that are still to be applied without a response.
@@ -63,6 +65,7 @@
     /// Fails while the store is down; otherwise removes expired leases and their items.
     fn expire_leases(&mut self) -> Result<(), ItemError> {
         if self.is_down {
+            self.refused_calls += 1;
             return Err(ItemError::NotApplied { reason: "down".to_owned() });
         }
         let now = Instant::now();
@@ -131,6 +134,11 @@
         self.state.lock().unwrap().is_down = is_down;
     }
 
+    /// Returns how many calls failed because the store was down.
+    pub(crate) fn refused_calls(&self) -> usize {
+        self.state.lock().unwrap().refused_calls
+    }
+
     /// Sets whether watches that start from now on are never answered.
     pub(crate) fn set_watches_stalled(&self, are_watches_stalled: bool) {
         self.state.lock().unwrap().are_watches_stalled = are_watches_stalled;
