Send no request to a part of a route without weight

Cause: a route all of whose parts have weight 0 sent its requests to the last one, and credits from before a change of weights went on counting; a route without a usable part was answered 404, which says that the route doesn't exist.

Change: parts without weight are never chosen, credits start over when weights change, and such a route is answered 503.

--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -39,23 +39,33 @@
 /// random selection reaches it only over many requests.
 #[derive(Clone, Debug, Default)]
 pub struct PartSelector {
-    credits: HashMap<Arc<str>, Vec<i64>>,
+    credits: HashMap<Arc<str>, Vec<PartCredit>>,
+}
+
+/// Credit of a part under its weight.
+#[derive(Clone, Copy, Debug)]
+struct PartCredit {
+    weight: u32,
+    credit: i64,
 }
 
 impl PartSelector {
-    /// Returns the service for the next request of `route`, or `None` if the route has no parts.
+    /// Returns the service for the next request of `route`, or `None` if no part has a weight. The
+    /// credits start over when the weights change.
     pub fn select<'a>(&mut self, route: &'a config::RouteConfig) -> Option<&'a Arc<str>> {
         if let [part] = &route.parts[..] {
             return Some(&part.service);
         }
         let credits = self.credits.entry(Arc::clone(&route.name)).or_default();
-        credits.resize(route.parts.len(), 0);
-        let total: i64 = route.parts.iter().map(|part| i64::from(part.weight)).sum();
-        for (credit, part) in credits.iter_mut().zip(&route.parts) {
-            *credit += i64::from(part.weight);
+        let weights = route.parts.iter().map(|part| part.weight);
+        if !credits.iter().map(|known| known.weight).eq(weights.clone()) {
+            *credits = weights.map(|weight| PartCredit { weight, credit: 0 }).collect();
         }
-        let best = (0..credits.len()).max_by_key(|&index| credits[index])?;
-        credits[best] -= total;
+        let total: i64 = credits.iter().map(|part| i64::from(part.weight)).sum();
+        credits.iter_mut().for_each(|part| part.credit += i64::from(part.weight));
+        let weighted = (0..credits.len()).filter(|&index| credits[index].weight > 0);
+        let best = weighted.max_by_key(|&index| credits[index].credit)?;
+        credits[best].credit -= total;
         route.parts.get(best).map(|part| &part.service)
     }
 
--- a/crates/fleet/tests/route.rs
+++ b/crates/fleet/tests/route.rs
@@ -53,3 +53,22 @@
     }
     assert_eq!((counts["big"], counts["small"]), (90, 10));
 }
+
+/// Guards against requests that go to a part which the configuration in force gives no share, for
+/// lack of a share that it had before.
+#[test]
+fn a_part_without_weight_gets_no_request() {
+    let mut selector = PartSelector::default();
+    let before = route("r", "h", "/", &[("new", 90), ("old", 10)]);
+    let after = route("r", "h", "/", &[("new", 100), ("old", 0)]);
+    for selections in 1..10 {
+        for _ in 0..selections {
+            selector.select(&before);
+        }
+        for _ in 0..20 {
+            assert_eq!(selector.select(&after).map(|service| &**service), Some("new"));
+        }
+    }
+    let none = route("r", "h", "/", &[("old", 0), ("new", 0)]);
+    assert_eq!(selector.select(&none), None);
+}
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -142,7 +142,7 @@
         let route = route.ok_or(RequestFailure::not_run(FailureCause::NoRoute))?;
         *name = Arc::clone(&route.name);
         let service = self.forwarder.next_service(route);
-        let service = service.ok_or(RequestFailure::not_run(FailureCause::NoRoute))?;
+        let service = service.ok_or(RequestFailure::not_run(FailureCause::NoWorker))?;
         let key = match active.config.is_divided(&service) {
             true => Some(read_key(&parts.headers, &names.key)?),
             false => None,
