--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -26,7 +26,7 @@
 /// noticed when its watch ends, so this bounds the undetected age of the view.
 const WATCH_TIMEOUT: time::Duration = time::Duration::from_millis(6_000);
 /// Delay after received changes, so that changes in quick succession are fetched by one call.
-const BATCH_DELAY: time::Duration = time::Duration::from_millis(100);
+const BATCH_DELAY: time::Duration = time::Duration::from_millis(50);
 /// The same delay for a node that watches the store only until it follows another node. When many
 /// nodes start, each new entry would otherwise wake all of them.
 const FOLLOWER_BATCH_DELAY: time::Duration = time::Duration::from_millis(400);
