Choose among few workers of a large service, collected once

Change: the candidates of a service are collected when the members change; a first attempt chooses among 32 that the names of the node and the workers determine, at most half of them of the own zone, and further attempts among all.

Tests: each_node_of_many_uses_few_workers_that_are_shared_evenly, few_workers_are_all_preferred_and_changes_of_members_are_noticed.

--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -123,6 +123,8 @@
     members: BTreeMap<Arc<str>, KnownMember>,
     /// Nodes without an entry, and since when.
     missing: BTreeMap<Arc<str>, time::Instant>,
+    /// Number of changes of the members.
+    version: u64,
 }
 
 /// A member with the revision of its entry.
@@ -135,6 +137,11 @@
 }
 
 impl MemberDirectory {
+    /// Returns a number that grows with each change of the members.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Sets an entry unless a newer revision is known.
     pub fn set(&mut self, entry: MemberEntry, revision: u64) {
         let name = Arc::clone(&entry.node);
@@ -142,6 +149,7 @@
             return;
         }
         self.missing.remove(&name);
+        self.version += 1;
         self.members.insert(name, KnownMember { entry: Arc::new(entry), revision });
     }
 
@@ -150,6 +158,7 @@
     pub fn remove(&mut self, now: time::Instant, node: &str, revision: u64) {
         let is_older = self.members.get(node).is_some_and(|known| known.revision < revision);
         if is_older && let Some((name, _)) = self.members.remove_entry(node) {
+            self.version += 1;
             self.missing.insert(name, now);
         }
     }
@@ -163,6 +172,7 @@
         };
         let gone: Vec<Arc<str>> = self.members.iter().filter_map(gone_name).collect();
         for name in gone {
+            self.version += 1;
             self.members.remove(&name);
             self.missing.insert(name, now);
         }
--- a/crates/fleet/src/selection.rs
+++ b/crates/fleet/src/selection.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use cornelridge_model::time;
+use xxhash_rust::xxh3;
 
 use crate::member;
 
@@ -37,6 +38,14 @@
 /// Longest pause.
 const MAX_PAUSE: time::Duration = time::Duration::from_millis(1_600);
 
+/// Number of workers of a service among which a node chooses first. Each is then shared by many
+/// nodes, and the least loaded of this many is nearly as idle as that of all.
+const MAX_PREFERRED: usize = 32;
+
+/// Number of workers among them that may be of the node's own availability zone, unless there are
+/// not enough others.
+const MAX_NEAR: usize = MAX_PREFERRED / 2;
+
 /// Worker that may be chosen.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerCandidate {
@@ -50,6 +59,64 @@
     pub slots: u32,
 }
 
+/// Candidates of one service as of one version of the members.
+#[derive(Clone, Debug, Default)]
+pub struct CandidateSet {
+    version: u64,
+    all: Arc<[WorkerCandidate]>,
+    preferred: Arc<[WorkerCandidate]>,
+}
+
+impl CandidateSet {
+    /// Collects the workers of a service that take new requests. `node` and `zone` are those of
+    /// this node.
+    pub fn new(
+        directory: &member::MemberDirectory,
+        service: &str,
+        node: &str,
+        zone: &str,
+    ) -> CandidateSet {
+        let ready = directory.by_service(service).filter(|(entry, worker)| {
+            entry.state == member::MemberState::Serving
+                && worker.state == member::WorkerState::Ready
+        });
+        let all: Vec<WorkerCandidate> = ready
+            .map(|(entry, worker)| WorkerCandidate {
+                worker: worker.name.clone(),
+                node: Arc::clone(&entry.node),
+                is_same_zone: *entry.zone == *zone,
+                slots: worker.slots,
+            })
+            .collect();
+        let seed = xxh3::xxh3_64(node.as_bytes());
+        let mut order = all.clone();
+        order.sort_by_cached_key(|known| xxh3::xxh3_64_with_seed(known.worker.0.as_bytes(), seed));
+        let (near, far): (Vec<_>, Vec<_>) = order.into_iter().partition(|known| known.is_same_zone);
+        let near_count = near.len().min(MAX_PREFERRED.saturating_sub(far.len()).max(MAX_NEAR));
+        let mut preferred: Vec<WorkerCandidate> = near.into_iter().take(near_count).collect();
+        let far_count = MAX_PREFERRED.saturating_sub(preferred.len());
+        preferred.extend(far.into_iter().take(far_count));
+        let version = directory.version();
+        CandidateSet { version, all: all.into(), preferred: preferred.into() }
+    }
+
+    /// Returns whether the members have not changed since.
+    pub fn is_current(&self, directory: &member::MemberDirectory) -> bool {
+        self.version == directory.version()
+    }
+
+    /// Returns all candidates.
+    pub fn all(&self) -> Arc<[WorkerCandidate]> {
+        Arc::clone(&self.all)
+    }
+
+    /// Returns the candidates for first attempts. Of many, a node uses a few that only the name of
+    /// the node and those of the workers determine, so that it keeps few connections.
+    pub fn preferred(&self) -> Arc<[WorkerCandidate]> {
+        Arc::clone(&self.preferred)
+    }
+}
+
 /// Result of a request at a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WorkerResult {
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -5,8 +5,10 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use cornelridge_fleet::member::WorkerName;
-use cornelridge_fleet::selection::{WorkerCandidate, WorkerResult, WorkerSelector};
+use cornelridge_fleet::member::{
+    MemberDirectory, MemberEntry, MemberState, MemberWorker, WorkerName, WorkerState,
+};
+use cornelridge_fleet::selection::{CandidateSet, WorkerCandidate, WorkerResult, WorkerSelector};
 use cornelridge_model::time::{Duration, Instant};
 
 const NOW: Instant = Instant(10_000_000);
@@ -172,3 +174,60 @@
         "the load hints have expired"
     );
 }
+
+/// Returns the directory of `count` nodes in five zones, each beside a worker of `desk`.
+fn directory(count: u32) -> MemberDirectory {
+    let mut directory = MemberDirectory::default();
+    for index in 0..count {
+        let worker = MemberWorker {
+            name: WorkerName::new(&format!("w{index}"), 1),
+            service: Arc::from("desk"),
+            slots: 11,
+            state: WorkerState::Ready,
+            is_reporting: true,
+        };
+        let entry = MemberEntry {
+            node: Arc::from(format!("n{index}")),
+            run: 1,
+            zone: Arc::from(format!("z{}", index % 5)),
+            peer: ([10, 0, 0, 1], 80).into(),
+            pin: Arc::from("pin"),
+            state: MemberState::Serving,
+            worker: Some(worker),
+        };
+        directory.set(entry, u64::from(index) + 1);
+    }
+    directory
+}
+
+/// Guards against connections between all nodes of a large deployment: each node uses few workers
+/// of a service, of its own zone and of others, and all of them get about as many nodes.
+#[test]
+fn each_node_of_many_uses_few_workers_that_are_shared_evenly() {
+    let directory = directory(108);
+    let mut users: HashMap<String, u32> = HashMap::new();
+    for node in 0..295 {
+        let (name, zone) = (format!("node-{node}"), format!("z{}", node % 5));
+        let set = CandidateSet::new(&directory, "desk", &name, &zone);
+        let preferred = set.preferred();
+        assert_eq!((set.all().len(), preferred.len()), (108, 32));
+        assert_eq!(preferred.iter().filter(|known| known.is_same_zone).count(), 16);
+        for known in preferred.iter() {
+            *users.entry(known.worker.to_string()).or_default() += 1;
+        }
+    }
+    // 87 nodes a worker on average.
+    assert_eq!(users.len(), 108);
+    assert!(users.values().all(|count| (50..=130).contains(count)), "{users:?}");
+}
+
+#[test]
+fn few_workers_are_all_preferred_and_changes_of_members_are_noticed() {
+    let mut directory = directory(20);
+    let set = CandidateSet::new(&directory, "desk", "n0", "z0");
+    assert_eq!(set.preferred().len(), 20);
+    assert!(set.is_current(&directory));
+    directory.remove(NOW, "n3", 99);
+    assert!(!set.is_current(&directory));
+    assert_eq!(CandidateSet::new(&directory, "desk", "n0", "z0").all().len(), 19);
+}
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -1,5 +1,6 @@
 //! Selects a worker for each request, sends the request and decides on retries.
 
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 
 use cornelridge_fleet::budget;
@@ -49,6 +50,8 @@
     pub(crate) budget: Mutex<budget::RetryBudget>,
     pub(crate) part_selector: Mutex<route::PartSelector>,
     pub(crate) random: Mutex<fastrand::Rng>,
+    /// Candidates by service.
+    pub(crate) candidate_sets: Mutex<HashMap<Arc<str>, selection::CandidateSet>>,
 }
 
 /// The attempts made for one request.
@@ -263,26 +266,31 @@
         Ok(Some(AttemptTarget { worker, member }))
     }
 
+    /// Returns the workers that haven't been tried: for the first attempt the preferred ones.
     fn candidates(
         &self,
         request: &request::FleetRequest,
         history: &AttemptHistory,
-    ) -> Vec<selection::WorkerCandidate> {
+    ) -> Arc<[selection::WorkerCandidate]> {
+        let set = self.candidate_set(&request.service);
+        if history.tried.is_empty() && history.suspect_crash.is_none() {
+            return set.preferred();
+        }
+        let is_left =
+            |candidate: &&selection::WorkerCandidate| !history.tried.contains(&candidate.worker);
+        set.all().iter().filter(is_left).cloned().collect()
+    }
+
+    /// Returns the workers of a service, which are collected again when the members have changed.
+    fn candidate_set(&self, service: &Arc<str>) -> selection::CandidateSet {
         let directory = self.view.directory();
-        let members = directory.by_service(&request.service);
-        members
-            .filter(|(entry, worker)| {
-                entry.state == member::MemberState::Serving
-                    && worker.state == member::WorkerState::Ready
-                    && !history.tried.contains(&worker.name)
-            })
-            .map(|(entry, worker)| selection::WorkerCandidate {
-                worker: worker.name.clone(),
-                node: Arc::clone(&entry.node),
-                is_same_zone: entry.zone == self.zone,
-                slots: worker.slots,
-            })
-            .collect()
+        let mut sets = lock(&self.candidate_sets);
+        if let Some(known) = sets.get(service).filter(|known| known.is_current(&directory)) {
+            return known.clone();
+        }
+        let set = selection::CandidateSet::new(&directory, service, &self.node, &self.zone);
+        sets.insert(Arc::clone(service), set.clone());
+        set
     }
 
     fn select_worker(
@@ -375,6 +383,7 @@
         let directory = self.view.directory();
         lock(&self.selector).retain(|worker| directory.by_worker(worker).is_some());
         drop(directory);
+        lock(&self.candidate_sets).clear();
         if let Some(config) = self.view.config() {
             lock(&self.part_selector)
                 .retain(|name| config.config.routes.iter().any(|route| &*route.name == name));
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -323,6 +323,7 @@
             budget: Mutex::new(budget::RetryBudget::new(settings.retries)),
             part_selector: Mutex::new(route::PartSelector::default()),
             random: Mutex::new(random),
+            candidate_sets: Mutex::default(),
         });
         let ingress = Arc::new(ingress::CallerIngress {
             service: Arc::clone(&settings.service),
