Split the calls of the ledger and the known worker into parts

No change of behaviour: LedgerRow says whether a call is due and what it tells the worker; what a node knows of its worker's last incarnation is a module of its own.

--- a/crates/fleet/src/grant.rs
+++ b/crates/fleet/src/grant.rs
@@ -6,6 +6,7 @@
 
 use cornelridge_model::time;
 
+use crate::known_worker;
 use crate::ledger;
 use crate::member;
 use crate::plan;
@@ -117,78 +118,6 @@
     Calls,
 }
 
-/// What a worker has been granted.
-#[derive(Clone, Debug)]
-enum GrantState {
-    Replies(ReplyState),
-    Calls(ledger::CallLedger),
-}
-
-impl GrantState {
-    /// Returns the state of a worker that this run of the node has granted nothing;
-    /// `inherited_until` tells until when grants of an earlier run may be in force.
-    fn new(delivery: GrantDelivery, inherited_until: time::Instant) -> GrantState {
-        match delivery {
-            GrantDelivery::Replies => GrantState::Replies(ReplyState::default()),
-            GrantDelivery::Calls => GrantState::Calls(ledger::CallLedger::new(inherited_until)),
-        }
-    }
-}
-
-/// Grants by replies to reports.
-#[derive(Clone, Debug, Default)]
-struct ReplyState {
-    /// Ranges in the last reply.
-    granted: Vec<GrantedRange>,
-    granted_until: time::Instant,
-    /// Ranges in the reply before the last report, which that report takes into account.
-    acknowledged: Vec<GrantedRange>,
-}
-
-/// Latest incarnation that has reported.
-#[derive(Clone, Debug)]
-struct KnownWorker {
-    /// Its last report.
-    report: WorkerReport,
-    reported_at: time::Instant,
-    /// When the node acknowledged that the worker is leaving.
-    leaving_since: Option<time::Instant>,
-    has_ended: bool,
-    state: GrantState,
-}
-
-impl KnownWorker {
-    /// Returns until when the worker may hold keys by the grants of this run of the node.
-    fn granted_until(&self) -> time::Instant {
-        match &self.state {
-            GrantState::Replies(replies) => replies.granted_until,
-            GrantState::Calls(ledger) => ledger.possible_until(),
-        }
-    }
-
-    /// Returns the handover token, if it is known, of a row that the worker doesn't hold any more
-    /// and can't come to hold; `None` if it may hold the row.
-    fn released_row(
-        &self,
-        now: time::Instant,
-        row: &range::RangeRow,
-        handovers: &HashMap<(u16, u16), Arc<str>>,
-    ) -> Option<Arc<str>> {
-        let replies = match &self.state {
-            GrantState::Replies(replies) => replies,
-            GrantState::Calls(ledger) => return ledger.released(now, row),
-        };
-        let overlaps = |first: u16, last: u16| first <= row.last && last >= row.first;
-        let granted = replies.acknowledged.iter().chain(&replies.granted);
-        let is_granted = granted.into_iter().any(|range| overlaps(range.first, range.last));
-        let is_held = self.report.holds.iter().any(|held| overlaps(held.first, held.last));
-        if is_granted || is_held {
-            return None;
-        }
-        Some(handovers.get(&(row.first, row.last)).map(Arc::clone).unwrap_or_default())
-    }
-}
-
 /// Deregistration of a worker that hasn't reported to this run of the node.
 #[derive(Clone, Debug)]
 struct EarlyDeregistration {
@@ -202,7 +131,7 @@
     node: Arc<str>,
     delivery: GrantDelivery,
     started_at: time::Instant,
-    worker: Option<KnownWorker>,
+    worker: Option<known_worker::KnownWorker>,
     early_deregistration: Option<EarlyDeregistration>,
     /// Handover tokens by the first and last key of the released range.
     handovers: HashMap<(u16, u16), Arc<str>>,
@@ -294,17 +223,22 @@
                 known.report = report;
                 known.leaving_since = leaving_since;
                 known.reported_at = now;
-                if let GrantState::Replies(replies) = &mut known.state {
+                if let known_worker::GrantState::Replies(replies) = &mut known.state {
                     replies.acknowledged.clone_from(&replies.granted);
                 }
             }
             None => {
                 let inherited_until = self.started_at + registration::takeover_delay();
-                let state = GrantState::new(self.delivery, inherited_until);
+                let state = known_worker::GrantState::new(self.delivery, inherited_until);
                 let reported_at = now;
                 let has_ended = false;
-                self.worker =
-                    Some(KnownWorker { report, reported_at, leaving_since, has_ended, state });
+                self.worker = Some(known_worker::KnownWorker {
+                    report,
+                    reported_at,
+                    leaving_since,
+                    has_ended,
+                    state,
+                });
             }
         }
         status
@@ -359,7 +293,7 @@
             return false;
         }
         known.has_ended = true;
-        known.state = GrantState::new(self.delivery, now);
+        known.state = known_worker::GrantState::new(self.delivery, now);
         self.possibly_held_until = now;
         true
     }
@@ -379,7 +313,7 @@
         max_hold: time::Duration,
     ) -> Option<GrantReply> {
         let known = self.worker.as_mut().filter(|known| !known.has_ended)?;
-        let GrantState::Replies(replies) = &mut known.state else { return None };
+        let known_worker::GrantState::Replies(replies) = &mut known.state else { return None };
         let hold = registration.remaining_hold(now)?.min(max_hold);
         if hold == time::Duration::ZERO {
             return None;
@@ -411,7 +345,7 @@
         let Some(known) = self.worker.as_ref().filter(|known| !known.has_ended) else {
             return false;
         };
-        let GrantState::Replies(replies) = &known.state else { return false };
+        let known_worker::GrantState::Replies(replies) = &known.state else { return false };
         let report = &known.report;
         if report.name != *worker
             || report.sequence != sequence
@@ -438,10 +372,10 @@
     pub fn granted(&self) -> Vec<(u16, u16)> {
         let Some(known) = self.running() else { return Vec::new() };
         match &known.state {
-            GrantState::Replies(replies) => {
+            known_worker::GrantState::Replies(replies) => {
                 replies.granted.iter().map(|range| (range.first, range.last)).collect()
             }
-            GrantState::Calls(ledger) => ledger.granted().collect(),
+            known_worker::GrantState::Calls(ledger) => ledger.granted().collect(),
         }
     }
 
@@ -450,16 +384,16 @@
         let Some(known) = self.running() else { return false };
         let until = now + DISPATCH_MARGIN;
         match &known.state {
-            GrantState::Replies(replies) => {
+            known_worker::GrantState::Replies(replies) => {
                 until < replies.granted_until
                     && replies.granted.iter().any(|range| (range.first..=range.last).contains(&key))
             }
-            GrantState::Calls(ledger) => ledger.holds(until, key),
+            known_worker::GrantState::Calls(ledger) => ledger.holds(until, key),
         }
     }
 
     /// Returns the worker unless it has ended.
-    fn running(&self) -> Option<&KnownWorker> {
+    fn running(&self) -> Option<&known_worker::KnownWorker> {
         self.worker.as_ref().filter(|known| !known.has_ended)
     }
 
@@ -476,7 +410,7 @@
     ) -> Option<ledger::WorkerCall> {
         let is_reporting = self.is_reporting(now);
         let known = self.worker.as_mut().filter(|known| !known.has_ended)?;
-        let GrantState::Calls(ledger) = &mut known.state else { return None };
+        let known_worker::GrantState::Calls(ledger) = &mut known.state else { return None };
         if !ledger.is_loaded() && registration.remaining_hold(now).is_none() {
             return None;
         }
@@ -503,8 +437,8 @@
     /// Returns when the next call to the worker may be due, if nothing changes before.
     pub fn next_call_at(&self) -> Option<time::Instant> {
         match &self.running()?.state {
-            GrantState::Replies(_) => None,
-            GrantState::Calls(ledger) => ledger.next_call_at(),
+            known_worker::GrantState::Replies(_) => None,
+            known_worker::GrantState::Calls(ledger) => ledger.next_call_at(),
         }
     }
 
@@ -518,8 +452,8 @@
     ) -> bool {
         let known = self.worker.as_mut().filter(|known| known.report.name == *worker);
         match known.map(|known| &mut known.state) {
-            Some(GrantState::Calls(ledger)) => ledger.apply(number, outcome),
-            Some(GrantState::Replies(_)) | None => false,
+            Some(known_worker::GrantState::Calls(ledger)) => ledger.apply(number, outcome),
+            Some(known_worker::GrantState::Replies(_)) | None => false,
         }
     }
 
@@ -567,7 +501,7 @@
         if self.relinquished.get(&row.first) == Some(&stored.revision) {
             return Some(row.without_owner(handover));
         }
-        let is_again_due = matches!(known.state, GrantState::Calls(_))
+        let is_again_due = matches!(known.state, known_worker::GrantState::Calls(_))
             && known.report.state == member::WorkerState::Ready;
         // The fencing token under which the range was released isn't used again.
         is_again_due.then(|| row.with_owner(owner.clone(), handover))
--- /dev/null
+++ b/crates/fleet/src/known_worker.rs
@@ -0,0 +1,87 @@
+//! What a node knows of the incarnation of its worker that reported last.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use cornelridge_model::time;
+
+use crate::grant;
+use crate::ledger;
+use crate::range;
+
+/// What a worker has been granted.
+#[derive(Clone, Debug)]
+pub(crate) enum GrantState {
+    Replies(ReplyState),
+    Calls(ledger::CallLedger),
+}
+
+impl GrantState {
+    /// Returns the state of a worker that this run of the node has granted nothing;
+    /// `inherited_until` tells until when grants of an earlier run may be in force.
+    pub(crate) fn new(
+        delivery: grant::GrantDelivery,
+        inherited_until: time::Instant,
+    ) -> GrantState {
+        match delivery {
+            grant::GrantDelivery::Replies => GrantState::Replies(ReplyState::default()),
+            grant::GrantDelivery::Calls => {
+                GrantState::Calls(ledger::CallLedger::new(inherited_until))
+            }
+        }
+    }
+}
+
+/// Grants by replies to reports.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ReplyState {
+    /// Ranges in the last reply.
+    pub(crate) granted: Vec<grant::GrantedRange>,
+    pub(crate) granted_until: time::Instant,
+    /// Ranges in the reply before the last report, which that report takes into account.
+    pub(crate) acknowledged: Vec<grant::GrantedRange>,
+}
+
+/// Latest incarnation that has reported.
+#[derive(Clone, Debug)]
+pub(crate) struct KnownWorker {
+    /// Its last report.
+    pub(crate) report: grant::WorkerReport,
+    pub(crate) reported_at: time::Instant,
+    /// When the node acknowledged that the worker is leaving.
+    pub(crate) leaving_since: Option<time::Instant>,
+    pub(crate) has_ended: bool,
+    pub(crate) state: GrantState,
+}
+
+impl KnownWorker {
+    /// Returns until when the worker may hold keys by the grants of this run of the node.
+    pub(crate) fn granted_until(&self) -> time::Instant {
+        match &self.state {
+            GrantState::Replies(replies) => replies.granted_until,
+            GrantState::Calls(ledger) => ledger.possible_until(),
+        }
+    }
+
+    /// Returns the handover token, if it is known, of a row that the worker doesn't hold any more
+    /// and can't come to hold; `None` if it may hold the row.
+    pub(crate) fn released_row(
+        &self,
+        now: time::Instant,
+        row: &range::RangeRow,
+        handovers: &HashMap<(u16, u16), Arc<str>>,
+    ) -> Option<Arc<str>> {
+        let replies = match &self.state {
+            GrantState::Replies(replies) => replies,
+            GrantState::Calls(ledger) => return ledger.released(now, row),
+        };
+        let overlaps = |first: u16, last: u16| first <= row.last && last >= row.first;
+        let granted = replies.acknowledged.iter().chain(&replies.granted);
+        let is_granted = granted.into_iter().any(|range| overlaps(range.first, range.last));
+        let is_held = self.report.holds.iter().any(|held| overlaps(held.first, held.last));
+        if is_granted || is_held {
+            return None;
+        }
+        Some(handovers.get(&(row.first, row.last)).map(Arc::clone).unwrap_or_default())
+    }
+}
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -152,6 +152,55 @@
         }
     }
 
+    /// Returns whether a call is due; `hold` is the longest hold that may be granted now.
+    fn is_due(
+        &self,
+        now: time::Instant,
+        hold: Option<time::Duration>,
+        is_busy: &impl Fn(u16, u16) -> bool,
+    ) -> bool {
+        if now < self.next_call_at {
+            return false;
+        }
+        match (&self.phase, hold) {
+            (RowPhase::Granting, Some(hold)) => now + hold >= self.confirmed_until + MIN_EXTENSION,
+            (RowPhase::Releasing, _) => {
+                let is_release = |call: &OpenCall| matches!(call.kind, OpenKind::Release);
+                let is_repeated = self.open.iter().any(is_release);
+                now < self.possible_until
+                    && !self.has_grant_on_the_way(now)
+                    && !(is_repeated && is_busy(self.first, self.last))
+            }
+            (RowPhase::Granting, None) | (RowPhase::Released(_) | RowPhase::Outdated, _) => false,
+        }
+    }
+
+    /// Records a call as sent now and returns what it tells the worker.
+    fn issue(
+        &mut self,
+        now: time::Instant,
+        number: CallNumber,
+        hold: Option<time::Duration>,
+        handover: Arc<str>,
+    ) -> CallOrder {
+        let (first, last, fence) = (self.first, self.last, self.fence);
+        let (order, kind, delay) = match (&self.phase, hold) {
+            (RowPhase::Granting, Some(hold)) => {
+                let end = now + CALL_TIMEOUT + registration::longest_hold(hold);
+                self.possible_until = self.possible_until.max(end);
+                let range = grant::GrantedRange { first, last, fence, handover };
+                (CallOrder::Grant(range, hold), OpenKind::Grant(hold, end), GRANT_RETRY_DELAY)
+            }
+            _ => {
+                let range = grant::HeldRange { first, last, fence };
+                (CallOrder::Release(range), OpenKind::Release, RELEASE_RETRY_DELAY)
+            }
+        };
+        self.open.push(OpenCall { number, issued: now, kind, is_awaited: true });
+        self.next_call_at = now + delay;
+        order
+    }
+
     /// Applies the result of a call; returns whether the worker has begun or ceased to hold the
     /// range.
     fn apply(&mut self, call: OpenCall, outcome: &CallOutcome) -> bool {
@@ -250,10 +299,11 @@
             !rows.iter().any(is_same) && known.released(now).is_none()
         });
         let left_until = left.map(|known| known.possible_until).max().unwrap_or_default();
-        let inherited_until =
-            if self.is_loaded { self.inherited_until } else { Default::default() };
-        self.inherited_until = inherited_until.max(left_until);
-        self.is_loaded = true;
+        if !self.is_loaded {
+            self.is_loaded = true;
+            self.inherited_until = time::Instant::default();
+        }
+        self.inherited_until = self.inherited_until.max(left_until);
         self.rows = rows;
     }
 
@@ -301,43 +351,14 @@
             return None;
         }
         let hold = hold.filter(|hold| *hold >= MIN_HOLD && awaited < MAX_AWAITED_GRANTS);
-        let is_due = |row: &&mut LedgerRow| match (&row.phase, hold) {
-            (RowPhase::Granting, Some(hold)) => {
-                now >= row.next_call_at && now + hold >= row.confirmed_until + MIN_EXTENSION
-            }
-            (RowPhase::Releasing, _) => {
-                let is_repeated =
-                    row.open.iter().any(|call| matches!(call.kind, OpenKind::Release));
-                now >= row.next_call_at
-                    && now < row.possible_until
-                    && !row.has_grant_on_the_way(now)
-                    && !(is_repeated && is_busy(row.first, row.last))
-            }
-            (RowPhase::Granting, None) | (RowPhase::Released(_) | RowPhase::Outdated, _) => false,
-        };
-        let due = self.rows.iter_mut().filter(is_due);
+        let due = self.rows.iter_mut().filter(|row| row.is_due(now, hold, &is_busy));
         // Releases first: a successor waits for them.
         let row = due.min_by_key(|row| (row.phase == RowPhase::Granting, row.next_call_at))?;
         let number = CallNumber(self.next_number);
         self.next_number += 1;
-        let (first, last, fence) = (row.first, row.last, row.fence);
-        let (order, kind, delay) = match (&row.phase, hold) {
-            (RowPhase::Granting, Some(hold)) => {
-                let stored = ranges.find(first).filter(|stored| row.is(&stored.row));
-                let handover = stored.map(|stored| Arc::clone(&stored.row.handover));
-                let handover = handover.unwrap_or_default();
-                let end = now + CALL_TIMEOUT + registration::longest_hold(hold);
-                row.possible_until = row.possible_until.max(end);
-                let range = grant::GrantedRange { first, last, fence, handover };
-                (CallOrder::Grant(range, hold), OpenKind::Grant(hold, end), GRANT_RETRY_DELAY)
-            }
-            _ => {
-                let range = grant::HeldRange { first, last, fence };
-                (CallOrder::Release(range), OpenKind::Release, RELEASE_RETRY_DELAY)
-            }
-        };
-        row.open.push(OpenCall { number, issued: now, kind, is_awaited: true });
-        row.next_call_at = now + delay;
+        let stored = ranges.find(row.first).filter(|stored| row.is(&stored.row));
+        let handover = stored.map(|stored| Arc::clone(&stored.row.handover)).unwrap_or_default();
+        let order = row.issue(now, number, hold, handover);
         Some(WorkerCall { number, order })
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,3 +23,5 @@
 pub mod registration;
 pub mod route;
 pub mod selection;
+
+mod known_worker;
