Give up a grant call that can't be sent in time

Cause: the time to send a call counted from when its task began to run, while the ledger counts its latest arrival from its issue. A process that was paused or slow in between would have sent a grant that outlasts what the ledger assumes, so that its keys could be granted elsewhere while it is in force. Found by reading.

Change: a call carries its time of issue, and isn't sent 250 ms later, also when a connection is there.

Test: a_call_that_is_late_is_not_sent; the sender checks the same time.

--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -15,6 +15,9 @@
 /// Longest time from the issue of a call until it arrives at the worker, which runs on the same
 /// host. Calls that can't be sent within it are given up.
 pub const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+/// Time from the issue of a call within which it must be sent, so that a process that was slow or
+/// paused in between doesn't send it; the rest of `CALL_TIMEOUT` is left for the call to arrive.
+const SEND_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Time between two renewals of a range, so that a restart of the node leaves most of the hold.
 const RENEW_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
 /// Delay after a grant call that failed or got no answer.
@@ -49,10 +52,19 @@
 pub struct WorkerCall {
     /// Its number.
     pub number: CallNumber,
+    /// When it was issued.
+    pub issued: time::Instant,
     /// What it tells the worker.
     pub order: CallOrder,
 }
 
+impl WorkerCall {
+    /// Returns until when the call may be sent. A later one would outlast what the ledger assumes.
+    pub fn send_by(&self) -> time::Instant {
+        self.issued + SEND_TIMEOUT
+    }
+}
+
 /// Result of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallOutcome {
@@ -359,7 +371,7 @@
         let stored = ranges.find(row.first).filter(|stored| row.is(&stored.row));
         let handover = stored.map(|stored| Arc::clone(&stored.row.handover)).unwrap_or_default();
         let order = row.issue(now, number, hold, handover);
-        Some(WorkerCall { number, order })
+        Some(WorkerCall { number, issued: now, order })
     }
 
     /// Forgets calls that can't be applied any more; returns the number of awaited calls.
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -178,3 +178,13 @@
     assert_eq!(ledger.released(later, &row(0, 99, 3)), None);
     assert!(ledger.released(ledger.possible_until(), &row(0, 99, 3)).is_some());
 }
+
+/// Guards against a grant that a paused process sends when it goes on, and that outlasts the time
+/// after which its keys are granted elsewhere.
+#[test]
+fn a_call_that_is_late_is_not_sent() {
+    let table = table(&[row(0, 99, 3)]);
+    let (_, call) = granting(table.service("desk").unwrap());
+    assert_eq!(call.issued, NOW);
+    assert!(call.send_by() < NOW + CALL_TIMEOUT, "time is left for the call to arrive");
+}
--- a/crates/sidecar/src/grant_calls.rs
+++ b/crates/sidecar/src/grant_calls.rs
@@ -20,9 +20,6 @@
 /// Longest wait for the answer to a grant. The answer to a release takes as long as the work that
 /// runs on its keys, up to the longest hold.
 const GRANT_ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(600);
-/// Longest wait for a connection, after which the rest of `ledger::CALL_TIMEOUT` is left for the
-/// call to arrive.
-const CONNECTION_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Shortest and longest time between two checks for calls that are due.
 const MIN_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 const MAX_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
@@ -68,10 +65,9 @@
     }
 
     async fn deliver(&self, worker: member::WorkerName, call: ledger::WorkerCall) {
-        let issued = clock::now();
-        let outcome = self.call(&worker, &call.order, issued).await;
+        let outcome = self.call(&worker, &call).await;
         let has_changed = self.local_worker.grants().apply_call(&worker, call.number, &outcome);
-        log_call(&worker, &call, &outcome, clock::now().since(issued), has_changed);
+        log_call(&worker, &call, &outcome, has_changed);
         if has_changed {
             // Wakes requests that wait for a grant, and the planner, which commits released ranges.
             self.local_worker.notify();
@@ -82,15 +78,17 @@
     async fn call(
         &self,
         worker: &member::WorkerName,
-        order: &ledger::CallOrder,
-        issued: time::Instant,
+        call: &ledger::WorkerCall,
     ) -> ledger::CallOutcome {
-        let connection = self.connection(order);
-        let connection = clock::timeout_at(issued + CONNECTION_TIMEOUT, connection).await.flatten();
+        let order = &call.order;
+        let connection = clock::timeout_at(call.send_by(), self.connection(order)).await.flatten();
         let (Some(mut connection), Some(request)) = (connection, self.request(worker, order))
         else {
             return ledger::CallOutcome::NotApplied;
         };
+        if clock::now() >= call.send_by() {
+            return ledger::CallOutcome::NotApplied;
+        }
         let (answer_timeout, is_grant) = match order {
             ledger::CallOrder::Grant(..) => (GRANT_ANSWER_TIMEOUT, true),
             ledger::CallOrder::Release(_) => (self.max_hold, false),
@@ -102,7 +100,7 @@
             body.map_err(|error| connections::ExchangeError::Broken(error.to_string()))?;
             Ok(parts)
         };
-        let parts = match clock::timeout_at(issued + answer_timeout, exchange).await {
+        let parts = match clock::timeout_at(call.issued + answer_timeout, exchange).await {
             Some(Ok(parts)) => parts,
             Some(Err(connections::ExchangeError::NotSent)) => {
                 return ledger::CallOutcome::NotApplied;
@@ -185,7 +183,6 @@
     worker: &member::WorkerName,
     call: &ledger::WorkerCall,
     outcome: &ledger::CallOutcome,
-    age: time::Duration,
     has_changed: bool,
 ) {
     let (order, first, last, fence) = match &call.order {
@@ -203,7 +200,7 @@
     if has_changed || *outcome != ledger::CallOutcome::Granted {
         log::info!(
             worker:% = worker, order, first, last, fence, outcome = result, is_warm,
-            age_us = age.0; "grant call ended"
+            age_us = clock::now().since(call.issued).0; "grant call ended"
         );
     }
 }
