Wait for the first frame of a feed before the configuration is sent

Cause: a node whose follower knew a newer revision than itself found the configuration unsent and sent nothing, without waiting in between: the task kept the only thread of the process.

Change: the configuration counts as due only after a first frame of items.

Test: a_follower_that_is_ahead_keeps_nobody_busy.

--- a/crates/sidecar/src/feed.rs
+++ b/crates/sidecar/src/feed.rs
@@ -161,31 +161,34 @@
     mut writer: transport::FrameWriter,
 ) {
     let mut cursor = FeedCursor::new(min_revision);
-    let mut config_revision = 0;
+    // Revision of the configuration that was sent; `None` before the first frame of items.
+    let mut config_revision: Option<u64> = None;
+    let new_config = |sent: Option<u64>| sent.and_then(|revision| view.config_item_after(revision));
     let reads_store = || !view.is_following.load(Ordering::Relaxed);
     while reads_store()
         && local_worker.registration().is_renewed_within(clock::now(), MAX_RENEWAL_AGE)
     {
         let frame = cursor.next(&lock(&view.items));
         if let Some(frame) = frame {
-            let revision = frame.revision;
             if !send_frame(&mut writer, &frame).await {
                 return;
             }
-            if let Some(config) = view.config_item_after(config_revision) {
-                config_revision = config.revision;
-                let items = vec![feed_item(&config)];
-                let frame = generated::FeedFrame { revision, is_complete: false, items };
-                if !send_frame(&mut writer, &frame).await {
-                    return;
-                }
+            config_revision.get_or_insert(0);
+        }
+        if let Some(config) = new_config(config_revision) {
+            config_revision = Some(config.revision);
+            let (revision, _) = lock(&view.items).position();
+            let items = vec![feed_item(&config)];
+            let frame = generated::FeedFrame { revision, is_complete: false, items };
+            if !send_frame(&mut writer, &frame).await {
+                return;
             }
         }
         let until = clock::now() + HEARTBEAT_INTERVAL;
         loop {
             let changed = view.changed();
-            let has_changes = cursor.has_changes(&lock(&view.items))
-                || view.config_item_after(config_revision).is_some();
+            let has_changes =
+                cursor.has_changes(&lock(&view.items)) || new_config(config_revision).is_some();
             if has_changes || clock::now() >= until {
                 break;
             }
--- a/crates/sidecar/tests/nodes/following.rs
+++ b/crates/sidecar/tests/nodes/following.rs
@@ -141,3 +141,25 @@
         deployment.wait_until_served("/v2/x", None).await;
     });
 }
+
+/// Guards against a feed that keeps the processor while its follower knows a newer revision than
+/// this node: the configuration waits for the first frame of items.
+#[test]
+fn a_follower_that_is_ahead_keeps_nobody_busy() {
+    block_on(async {
+        let deployment = Deployment::start(&["desk"; 2]).await;
+        deployment.configure(1);
+        deployment.wait_until_served("/v1/x", None).await;
+        let visitor = join(&deployment).await;
+        let source = deployment.hosts[0].node.addresses.peers;
+        wait_until("the visitor is accepted", || async {
+            let fetch = stream_head::Kind::LoadFetch(LoadFetch {});
+            first_message::<LoadAnswer>(&visitor, source, fetch).await.is_some()
+        })
+        .await;
+        let fetch = stream_head::Kind::FeedFetch(FeedFetch { revision: u64::MAX });
+        let frame = first_message::<FeedFrame>(&visitor, source, fetch).await;
+        assert!(frame.is_none(), "the source is behind");
+        deployment.wait_until_served("/v1/x", None).await;
+    });
+}
