Check that a node with a follower that is ahead goes on renewing its entry

The test passed on the code before, where the node was busy for 2 s only, until its own entry seemed too old to feed others. It fails there now.

--- a/crates/sidecar/tests/nodes/following.rs
+++ b/crates/sidecar/tests/nodes/following.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::standin::store::MemoryStore;
 use crate::standin::{Deployment, wait_until};
@@ -158,8 +158,11 @@
         })
         .await;
         let fetch = stream_head::Kind::FeedFetch(FeedFetch { revision: u64::MAX });
+        let sent = Instant::now();
         let frame = first_message::<FeedFrame>(&visitor, source, fetch).await;
         assert!(frame.is_none(), "the source is behind");
+        // A node that can't renew its entry ends its feeds.
+        assert!(sent.elapsed() >= FIRST_MESSAGE_TIMEOUT, "the node didn't renew its entry");
         deployment.wait_until_served("/v1/x", None).await;
     });
 }
