--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -63,6 +63,11 @@
     pub fn send_by(&self) -> time::Instant {
         self.issued + SEND_TIMEOUT
     }
+
+    /// Returns whether the call may be sent now.
+    pub fn may_be_sent(&self, now: time::Instant) -> bool {
+        now < self.send_by()
+    }
 }
 
 /// Result of a call.
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -187,4 +187,5 @@
     let (_, call) = granting(table.service("desk").unwrap());
     assert_eq!(call.issued, NOW);
     assert!(call.send_by() < NOW + CALL_TIMEOUT, "time is left for the call to arrive");
+    assert!(call.may_be_sent(NOW) && !call.may_be_sent(call.send_by()));
 }
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -236,7 +236,7 @@
 ) {
     let mut revision = None;
     let mut has_failed = false;
-    let mut backoff = backoff::StoreBackoff::new();
+    let mut backoff = backoff::StoreBackoff::default();
     loop {
         if revision.is_some() {
             feed.follow().await;
@@ -322,7 +322,7 @@
     format: Arc<dyn adapter::FormatAdapter>,
 ) {
     let mut revision = None;
-    let mut backoff = backoff::StoreBackoff::new();
+    let mut backoff = backoff::StoreBackoff::default();
     loop {
         let result = match revision {
             None => read_config(&*store, &view, &*format).await,
--- a/crates/sidecar/src/grant_calls.rs
+++ b/crates/sidecar/src/grant_calls.rs
@@ -86,7 +86,7 @@
         else {
             return ledger::CallOutcome::NotApplied;
         };
-        if clock::now() >= call.send_by() {
+        if !call.may_be_sent(clock::now()) {
             return ledger::CallOutcome::NotApplied;
         }
         let (answer_timeout, is_grant) = match order {
--- a/crates/sidecar/src/session.rs
+++ b/crates/sidecar/src/session.rs
@@ -84,7 +84,7 @@
         let started = clock::now();
         let mut state = EntryState::default();
         let mut has_failed = false;
-        let mut backoff = backoff::StoreBackoff::new();
+        let mut backoff = backoff::StoreBackoff::default();
         loop {
             let changed = self.changed.listen();
             if self.is_removed(&state) {
