Give the tests of grant calls a program of their own, and split long files

The program's tests share one executor thread: 48 of them used 59 s of processor time in 50 s, so that the thread was nearly always busy, and the four tests of calls added 25 s (the two halves timed apart, load 3 to 6).

Change: crates/sidecar/tests/calls is a program of its own, with one test for each fault in the answers to grants. No change of behaviour, and no check eased.

--- a/crates/fleet/src/grant.rs
+++ b/crates/fleet/src/grant.rs
@@ -1,7 +1,6 @@
 //! Grants of key ranges to the worker beside the node.
 
 use std::collections::HashMap;
-use std::net;
 use std::sync::Arc;
 
 use cornelridge_model::time;
@@ -12,6 +11,7 @@
 use crate::plan;
 use crate::range;
 use crate::registration;
+use crate::worker_report;
 
 /// Time without reports after which a worker that refuses connections is known to have ended.
 /// Workers report about once a second, and a process that listens refuses no connections.
@@ -26,53 +26,6 @@
 /// Time by which grants end earlier for the node than for the worker; covers one dispatch.
 const DISPATCH_MARGIN: time::Duration = time::Duration::from_millis(20);
 
-/// Range that a worker reports as held.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HeldRange {
-    /// First key.
-    pub first: u16,
-    /// Last key, inclusive.
-    pub last: u16,
-    /// Fencing token under which the worker holds the keys.
-    pub fence: u64,
-}
-
-/// Range that a worker reports as released.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct FreedRange {
-    /// First key.
-    pub first: u16,
-    /// Last key, inclusive.
-    pub last: u16,
-    /// Handover token, with which the next holder takes over the worker's warm state.
-    pub handover: Arc<str>,
-}
-
-/// Report of a worker about itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WorkerReport {
-    /// Name of its incarnation.
-    pub name: member::WorkerName,
-    /// Time of its start, in Unix milliseconds; orders the incarnations beside one node.
-    pub started_unix_ms: u64,
-    /// Sequence number, which increases with each report of an incarnation.
-    pub sequence: u64,
-    /// Service that the worker runs.
-    pub service: Arc<str>,
-    /// Address at which the worker accepts requests.
-    pub address: net::SocketAddr,
-    /// Highest number of requests that the worker runs at the same time.
-    pub slots: u32,
-    /// Whether the worker takes new requests.
-    pub state: member::WorkerState,
-    /// Remaining time of its warm-up, in which the worker is slow.
-    pub warm_up: time::Duration,
-    /// Ranges that the worker holds or still works on.
-    pub holds: Vec<HeldRange>,
-    /// Ranges that the worker has released since its last report that got a reply.
-    pub freed: Vec<FreedRange>,
-}
-
 /// One range in the reply to a report.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GrantedRange {
@@ -162,7 +115,7 @@
     }
 
     /// Returns the last report of the worker, or `None` if there is no worker or it has ended.
-    pub fn current_report(&self) -> Option<&WorkerReport> {
+    pub fn current_report(&self) -> Option<&worker_report::WorkerReport> {
         self.worker.as_ref().filter(|known| !known.has_ended).map(|known| &known.report)
     }
 
@@ -194,7 +147,11 @@
 
     /// Applies a report unless it is stale. A report that was sent before the worker deregistered
     /// may arrive after that, and doesn't make it ready again.
-    pub fn apply_report(&mut self, now: time::Instant, mut report: WorkerReport) -> ReportStatus {
+    pub fn apply_report(
+        &mut self,
+        now: time::Instant,
+        mut report: worker_report::WorkerReport,
+    ) -> ReportStatus {
         let status = self.status_of(&report);
         match status {
             ReportStatus::Stale => return status,
@@ -244,7 +201,7 @@
         status
     }
 
-    fn status_of(&self, report: &WorkerReport) -> ReportStatus {
+    fn status_of(&self, report: &worker_report::WorkerReport) -> ReportStatus {
         let Some(known) = &self.worker else { return ReportStatus::NewWorker };
         if report.name == known.report.name {
             if known.has_ended || report.sequence <= known.report.sequence {
@@ -277,7 +234,7 @@
     fn take_deregistration(
         &mut self,
         now: time::Instant,
-        report: &WorkerReport,
+        report: &worker_report::WorkerReport,
     ) -> Option<time::Instant> {
         let deregistration = self.early_deregistration.take()?;
         let is_same = deregistration.id == report.name.id()
--- a/crates/fleet/src/known_worker.rs
+++ b/crates/fleet/src/known_worker.rs
@@ -8,6 +8,7 @@
 use crate::grant;
 use crate::ledger;
 use crate::range;
+use crate::worker_report;
 
 /// What a worker has been granted.
 #[derive(Clone, Debug)]
@@ -46,7 +47,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct KnownWorker {
     /// Its last report.
-    pub(crate) report: grant::WorkerReport,
+    pub(crate) report: worker_report::WorkerReport,
     pub(crate) reported_at: time::Instant,
     /// When the node acknowledged that the worker is leaving.
     pub(crate) leaving_since: Option<time::Instant>,
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -11,6 +11,7 @@
 use crate::grant;
 use crate::range;
 use crate::registration;
+use crate::worker_report;
 
 /// Longest time from the issue of a call until it arrives at the worker, which runs on the same
 /// host. Calls that can't be sent within it are given up.
@@ -44,7 +45,7 @@
     /// Grants a range, or renews its grant, for a duration from the arrival of the call.
     Grant(grant::GrantedRange, time::Duration),
     /// Takes a range back; the answer comes when the work that runs on its keys has ended.
-    Release(grant::HeldRange),
+    Release(worker_report::HeldRange),
 }
 
 /// A call that is to be sent now.
@@ -209,7 +210,7 @@
                 (CallOrder::Grant(range, hold), OpenKind::Grant(hold, end), GRANT_RETRY_DELAY)
             }
             _ => {
-                let range = grant::HeldRange { first, last, fence };
+                let range = worker_report::HeldRange { first, last, fence };
                 (CallOrder::Release(range), OpenKind::Release, RELEASE_RETRY_DELAY)
             }
         };
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod registration;
 pub mod route;
 pub mod selection;
+pub mod worker_report;
 
 mod known_worker;
--- a/crates/fleet/tests/grant.rs
+++ b/crates/fleet/tests/grant.rs
@@ -2,10 +2,11 @@
 
 use std::sync::Arc;
 
-use cornelridge_fleet::grant::{FreedRange, GrantDelivery, HeldRange, WorkerGrants, WorkerReport};
+use cornelridge_fleet::grant::{GrantDelivery, WorkerGrants};
 use cornelridge_fleet::member::{WorkerName, WorkerState};
 use cornelridge_fleet::range::{RangeHolder, RangeRow, RangeTable};
 use cornelridge_fleet::registration::EntryRegistration;
+use cornelridge_fleet::worker_report::{FreedRange, HeldRange, WorkerReport};
 use cornelridge_model::time::{Duration, Instant};
 
 const NOW: Instant = Instant(100_000_000);
--- a/crates/fleet/tests/simulation/calls.rs
+++ b/crates/fleet/tests/simulation/calls.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use cornelridge_fleet::{grant, ledger, registration};
+use cornelridge_fleet::{grant, ledger, registration, worker_report};
 use cornelridge_model::time::{Duration, Instant};
 
 use super::{Hold, Simulation, check_fence};
@@ -179,7 +179,7 @@
     }
 
     /// Stops new work on the keys of a range; returns the handover token if they were held.
-    fn apply_release(&mut self, index: usize, range: &grant::HeldRange) -> Arc<str> {
+    fn apply_release(&mut self, index: usize, range: &worker_report::HeldRange) -> Arc<str> {
         let worker = &mut self.workers[index];
         let before = worker.holds.len();
         worker.holds.retain(|hold| hold.first > range.last || hold.last < range.first);
--- a/crates/fleet/tests/simulation/mod.rs
+++ b/crates/fleet/tests/simulation/mod.rs
@@ -1,14 +1,16 @@
 //! Simulation of a small deployment: a store with leases, nodes and workers that hold ranges.
 
 mod calls;
+mod parts;
 mod store;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use cornelridge_fleet::{balance, grant, member, plan, range, registration};
+use cornelridge_fleet::{balance, grant, member, plan, range, registration, worker_report};
 use cornelridge_model::time::{Duration, Instant};
+use parts::{new_node, new_worker};
 use store::{Store, Value, member_key, row_key};
 
 pub(crate) const STEP: Duration = Duration::from_millis(10);
@@ -41,7 +43,7 @@
     started_unix_ms: u64,
     sequence: u64,
     holds: Vec<Hold>,
-    freed: Vec<grant::FreedRange>,
+    freed: Vec<worker_report::FreedRange>,
     next_report: Instant,
     delayed_reply: Option<(Instant, Instant, grant::GrantReply)>,
     pub(crate) state: member::WorkerState,
@@ -166,12 +168,12 @@
         let worker = &mut self.workers[index];
         worker.sequence += 1;
         let is_by_calls = self.delivery == grant::GrantDelivery::Calls;
-        let held = |hold: &Hold| grant::HeldRange {
+        let held = |hold: &Hold| worker_report::HeldRange {
             first: hold.first,
             last: hold.last,
             fence: hold.fence,
         };
-        let report = grant::WorkerReport {
+        let report = worker_report::WorkerReport {
             name,
             started_unix_ms: worker.started_unix_ms,
             sequence: worker.sequence,
@@ -219,7 +221,7 @@
                 let handover = Arc::from(format!("{name}-{}", worker.handover_count));
                 // Only the part that isn't kept is released; rows are split in two at most here.
                 let first = if is_kept(hold.first) { hold.first + 1 } else { hold.first };
-                worker.freed.push(grant::FreedRange { first, last: hold.last, handover });
+                worker.freed.push(worker_report::FreedRange { first, last: hold.last, handover });
                 worker.next_report = self.now + Duration::from_millis(100);
             }
         }
@@ -468,41 +470,3 @@
         }
     }
 }
-
-fn new_node(name: Arc<str>, delivery: grant::GrantDelivery, now: Instant) -> Node {
-    Node {
-        grants: grant::WorkerGrants::new(Arc::clone(&name), delivery, now),
-        name,
-        is_up: true,
-        is_partitioned: false,
-        run: 1,
-        registration: registration::EntryRegistration::default(),
-        directory: member::MemberDirectory::default(),
-        table: range::RangeTable::default(),
-        read_revision: None,
-        lease: 0,
-        entry_revision: 0,
-        written_entry: None,
-        next_renewal: now,
-        due_since: None,
-        read_delay: Duration::ZERO,
-        next_read: now,
-    }
-}
-
-fn new_worker(now: Instant, phase: u64) -> Worker {
-    Worker {
-        is_up: true,
-        is_partitioned: false,
-        started_unix_ms: now.0 / 1_000,
-        sequence: 0,
-        holds: Vec::new(),
-        freed: Vec::new(),
-        next_report: now + Duration::from_millis(phase),
-        delayed_reply: None,
-        state: member::WorkerState::Ready,
-        handover_count: 0,
-        seen_fences: BTreeMap::new(),
-        runs: Vec::new(),
-    }
-}
--- a/crates/sidecar/src/adapter.rs
+++ b/crates/sidecar/src/adapter.rs
@@ -7,6 +7,7 @@
 use cornelridge_fleet::config;
 use cornelridge_fleet::grant;
 use cornelridge_fleet::ledger;
+use cornelridge_fleet::worker_report;
 use cornelridge_store::items;
 use http::{HeaderName, Method, StatusCode};
 
@@ -44,7 +45,7 @@
 #[derive(Clone, Debug)]
 pub enum ReportCall {
     /// A report of the worker's state.
-    Report(Box<grant::WorkerReport>),
+    Report(Box<worker_report::WorkerReport>),
     /// The worker with this identifier is about to exit.
     Deregister(Arc<str>),
 }
--- a/crates/sidecar/src/reports.rs
+++ b/crates/sidecar/src/reports.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use cornelridge_fleet::grant;
 use cornelridge_fleet::member;
+use cornelridge_fleet::worker_report;
 use cornelridge_model::time;
 use event_listener::Event;
 use http::{HeaderValue, Request, Response, StatusCode, header};
@@ -62,7 +63,10 @@
         }
     }
 
-    async fn report(&self, report: grant::WorkerReport) -> Response<http_server::ServerBody> {
+    async fn report(
+        &self,
+        report: worker_report::WorkerReport,
+    ) -> Response<http_server::ServerBody> {
         if report.address != self.local_worker.address {
             log::warn!(
                 worker:% = report.name, address:% = report.address;
@@ -113,7 +117,7 @@
     }
 
     /// Applies a report. The first report of an incarnation shows that the previous one has ended.
-    fn apply_report(&self, report: grant::WorkerReport) -> grant::ReportStatus {
+    fn apply_report(&self, report: worker_report::WorkerReport) -> grant::ReportStatus {
         let mut grants = self.local_worker.grants();
         let previous = grants.last_incarnation().cloned();
         let was_leaving = grants.leaving_since().is_some();
--- a/crates/sidecar/src/worker.rs
+++ b/crates/sidecar/src/worker.rs
@@ -1,5 +1,7 @@
 //! State of the worker beside the node: its reports, grants, slots and connections.
 
+mod permit;
+
 use std::collections::{BTreeMap, HashMap};
 use std::net;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -18,7 +20,7 @@
 use event_listener::{Event, EventListener};
 use futures_lite::future;
 use smol::channel;
-use smol::lock::{Mutex as AsyncMutex, MutexGuardArc};
+use smol::lock::Mutex as AsyncMutex;
 use tokio_util::sync::CancellationToken;
 
 use crate::clock;
@@ -32,6 +34,8 @@
 use crate::suspects;
 use crate::view::lock;
 
+pub(crate) use permit::{SlotPermit, SuspectPermit};
+
 /// Time between two checks of the queue while requests wait.
 const TICK_INTERVAL: time::Duration = time::Duration::from_millis(20);
 /// Time between two checks for a worker that has stopped reporting.
@@ -90,18 +94,6 @@
     changed: Event,
 }
 
-/// A slot of the worker, released when dropped.
-#[derive(Debug)]
-pub(crate) struct SlotPermit {
-    local_worker: Arc<LocalWorker>,
-    key: admission::AdmissionKey,
-    request: Arc<str>,
-    /// Key of the request, if its service is divided.
-    divided_key: Option<u16>,
-    started: time::Instant,
-    is_finished: bool,
-}
-
 impl LocalWorker {
     pub(crate) fn new(
         settings: &settings::SidecarSettings,
@@ -310,8 +302,8 @@
             }
         };
         lock(&self.waiting).remove(&key);
-        permit.started = clock::now();
-        meter::record_slot_wait(&request.service, permit.started.since(arrived));
+        permit.start();
+        meter::record_slot_wait(&request.service, permit.started().since(arrived));
         result.map(|()| permit).map_err(|refusal| {
             meter::count_refusal(&request.route, refusal.reason);
             if refusal.reason == admission::RefusalReason::Link {
@@ -448,7 +440,7 @@
     ) -> Result<Option<SuspectPermit>, RequestFailure> {
         let not_admitted = || RequestFailure::not_run(FailureCause::Suspect);
         let others = self.suspect_count.fetch_add(1, Ordering::Relaxed);
-        let mut permit = SuspectPermit { local_worker: Arc::clone(self), guard: None };
+        let mut permit = SuspectPermit::new(self);
         let expected = self.load(&request.route).expected_latency;
         let end = clock::now() + expected.saturating_mul(others as u64 + 1);
         if others > 0 && end > request.target {
@@ -457,7 +449,7 @@
         let guard =
             async { Ok(clock::timeout_at(request.target, self.suspect_lock.lock_arc()).await) };
         let guard = future::or(cancelled_before_send(cancellation), guard).await?;
-        permit.guard = Some(guard.ok_or_else(not_admitted)?);
+        permit.set_guard(guard.ok_or_else(not_admitted)?);
         Ok(self.suspects.check(request)?.map(|_| permit))
     }
 
@@ -488,98 +480,3 @@
     cancellation.cancelled().await;
     Err(RequestFailure::not_run(FailureCause::CallerLeft))
 }
-
-/// Permission of a suspect request to run, released when dropped.
-#[derive(Debug)]
-pub(crate) struct SuspectPermit {
-    local_worker: Arc<LocalWorker>,
-    guard: Option<MutexGuardArc<()>>,
-}
-
-impl Drop for SuspectPermit {
-    fn drop(&mut self) {
-        self.guard = None;
-        self.local_worker.suspect_count.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-impl SlotPermit {
-    fn new(
-        local_worker: &Arc<LocalWorker>,
-        key: admission::AdmissionKey,
-        request: &request::FleetRequest,
-        now: time::Instant,
-    ) -> SlotPermit {
-        *lock(&local_worker.running).entry(Arc::clone(&request.id)).or_default() += 1;
-        if let Some(divided_key) = request.key {
-            *lock(&local_worker.running_keys).entry(divided_key).or_default() += 1;
-        }
-        let (local_worker, divided_key) = (Arc::clone(local_worker), request.key);
-        let request = Arc::clone(&request.id);
-        SlotPermit { local_worker, key, request, divided_key, started: now, is_finished: false }
-    }
-
-    /// Returns the time at which the request got the slot.
-    pub(crate) fn started(&self) -> time::Instant {
-        self.started
-    }
-
-    fn run_key(&self) -> runs::RunKey {
-        runs::RunKey(self.key.0)
-    }
-
-    /// Records that the worker did not run the request.
-    pub(crate) fn record_not_run(&self) {
-        lock(&self.local_worker.runs).record_not_run(self.run_key());
-    }
-
-    /// Releases the slot; `is_complete` tells whether the worker sent a complete response.
-    pub(crate) fn finish(mut self, is_complete: bool) {
-        self.is_finished = true;
-        let run = if is_complete {
-            lock(&self.local_worker.runs).record_response(self.run_key())
-        } else {
-            None
-        };
-        if let Some(run) = run {
-            self.local_worker.suspects.record_completion(run);
-        }
-        let end = match is_complete {
-            true => admission::FinishOutcome::Served(clock::now().since(self.started)),
-            false => admission::FinishOutcome::Failed,
-        };
-        self.local_worker.finish(self.key, end);
-    }
-
-    /// Releases the slot of a request that the worker refused for lack of capacity.
-    pub(crate) fn shed(mut self) {
-        self.is_finished = true;
-        self.local_worker.finish(self.key, admission::FinishOutcome::Shed);
-    }
-}
-
-/// Decrements the count of a key, which is removed at zero.
-fn decrement<K: Ord>(counts: &mut BTreeMap<K, usize>, key: &K) {
-    if let Some(count) = counts.get_mut(key) {
-        *count -= 1;
-        if *count == 0 {
-            counts.remove(key);
-        }
-    }
-}
-
-impl Drop for SlotPermit {
-    fn drop(&mut self) {
-        decrement(&mut lock(&self.local_worker.running), &self.request);
-        if let Some(divided_key) = &self.divided_key {
-            decrement(&mut lock(&self.local_worker.running_keys), divided_key);
-        }
-        lock(&self.local_worker.runs).record_interrupted(clock::now(), self.run_key());
-        if self.is_finished {
-            return;
-        }
-        lock(&self.local_worker.waiting).remove(&self.key);
-        let actions = lock(&self.local_worker.queue).cancel(clock::now(), self.key);
-        self.local_worker.apply(actions);
-    }
-}
--- a/crates/sidecar/tests/nodes/calls.rs
+++ b/crates/sidecar/tests/calls/main.rs
@@ -1,4 +1,12 @@
-//! Keys that are granted to workers by calls.
+//! Keys that are granted to workers by calls: real nodes with stand-in workers and a store in
+//! memory. A program of its own, as the tests of a program share one executor thread.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+// The program of the other tests uses other parts of the stand-ins.
+#[allow(dead_code)]
+#[path = "../nodes/standin/mod.rs"]
+mod standin;
 
 use std::sync::Arc;
 
@@ -74,30 +82,46 @@
     });
 }
 
-/// Guards against a malformed or endless answer to a grant that costs more than this grant.
-#[test]
-fn a_malformed_answer_to_a_grant_costs_that_grant_alone() {
+/// Checks that a fault in the answers of one worker to its grants costs no keys of the other one,
+/// and no keys at all once it has ended.
+fn check_fault(fault: CallBehaviour) {
     block_on(async {
-        let faults = [
-            CallBehaviour::FloodBody,
-            CallBehaviour::Reset,
-            CallBehaviour::OddStatus,
-            CallBehaviour::Conflict,
-        ];
-        for fault in faults {
-            let deployment = start_deployment(&["prices", "prices"]).await;
-            deployment.hosts[0].worker.set_call_behaviour(fault);
-            wait_until("keys of the other worker are served", || async {
-                let served = [served_keys(&deployment, 0).await, served_keys(&deployment, 1).await];
-                served.iter().all(|served| *served >= KEYS.len() / 4)
-            })
-            .await;
-            deployment.hosts[0].worker.set_call_behaviour(CallBehaviour::Apply);
-            wait_until_all_served(&deployment).await;
-        }
+        let deployment = start_deployment(&["prices", "prices"]).await;
+        deployment.hosts[0].worker.set_call_behaviour(fault);
+        wait_until("keys of the other worker are served", || async {
+            let served = [served_keys(&deployment, 0).await, served_keys(&deployment, 1).await];
+            served.iter().all(|served| *served >= KEYS.len() / 4)
+        })
+        .await;
+        deployment.hosts[0].worker.set_call_behaviour(CallBehaviour::Apply);
+        wait_until_all_served(&deployment).await;
     });
 }
 
+/// Guards against an endless answer to a grant that costs more than this grant.
+#[test]
+fn an_endless_answer_to_a_grant_costs_that_grant_alone() {
+    check_fault(CallBehaviour::FloodBody);
+}
+
+/// Guards against an answer to a grant that breaks off and costs more than this grant.
+#[test]
+fn a_cut_answer_to_a_grant_costs_that_grant_alone() {
+    check_fault(CallBehaviour::Reset);
+}
+
+/// Guards against a status without a meaning that costs more than this grant.
+#[test]
+fn an_odd_status_of_a_grant_costs_that_grant_alone() {
+    check_fault(CallBehaviour::OddStatus);
+}
+
+/// Guards against a false conflict that costs more than this grant.
+#[test]
+fn a_false_conflict_of_a_grant_costs_that_grant_alone() {
+    check_fault(CallBehaviour::Conflict);
+}
+
 /// Guards against granting keys of an incarnation that has exited to the next one at its address
 /// under the same fencing token.
 #[test]
--- a/crates/sidecar/tests/nodes/main.rs
+++ b/crates/sidecar/tests/nodes/main.rs
@@ -2,7 +2,6 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-mod calls;
 mod crashing;
 mod endless;
 mod faulty;
@@ -11,5 +10,7 @@
 mod odd;
 mod pacing;
 mod requests;
+// The program of the call tests uses other parts of the stand-ins.
+#[allow(dead_code)]
 mod standin;
 mod stopping;
--- a/crates/sidecar/tests/nodes/standin/mod.rs
+++ b/crates/sidecar/tests/nodes/standin/mod.rs
@@ -10,7 +10,7 @@
 use std::time::Duration as StdDuration;
 
 use bytes::Bytes;
-use cornelridge_fleet::{budget, config, grant, ledger, member};
+use cornelridge_fleet::{budget, config, grant, ledger, member, worker_report};
 use cornelridge_model::class::KeyDivision;
 use cornelridge_model::time::Duration;
 use cornelridge_sidecar::{adapter, node, settings};
@@ -101,8 +101,8 @@
         let report: StandInReport = serde_json::from_slice(body).map_err(|error| {
             adapter::MalformedCall { status: StatusCode::BAD_REQUEST, reason: error.to_string() }
         })?;
-        let held = |(first, last, fence)| grant::HeldRange { first, last, fence };
-        Ok(adapter::ReportCall::Report(Box::new(grant::WorkerReport {
+        let held = |(first, last, fence)| worker_report::HeldRange { first, last, fence };
+        Ok(adapter::ReportCall::Report(Box::new(worker_report::WorkerReport {
             name: member::WorkerName::new(&report.id, report.born),
             started_unix_ms: report.born,
             sequence: report.sequence,
