Review: let each script read TROUBLE itself

Cause: run.sh passed TROUBLE on in the environment only, so that nothing in the folder of a case showed that it is read.

What was done: run.sh reads it and passes it as an argument.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,5 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/review/standins ] && [ -x target/release/cornelridge ] || exit 2
-exec target/review/standins left-worker "$here/record.txt"
+# TROUBLE=0 leaves the disruption out.
+exec target/review/standins left-worker "$here/record.txt" "${TROUBLE:-1}"
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -11,11 +11,11 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let is_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let (Some(case), Some(path)) = (arguments.get(1), arguments.get(2)) else {
-        eprintln!("usage: standins CASE RECORD");
+    let [_, case, path, trouble] = &arguments[..] else {
+        eprintln!("usage: standins CASE RECORD TROUBLE");
         std::process::exit(2);
     };
+    let is_trouble = trouble != "0";
     // A case that hangs has not run.
     std::thread::spawn(|| {
         std::thread::sleep(std::time::Duration::from_secs(115));
