Review: two holders after a late report to a new process

A node that starts again takes the first status report that it gets as what its worker holds now. If the report is a late one of the same worker, from before it had keys, rows that are to be released count as released.

--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -1,9 +1,11 @@
 //! The cases.
 
+mod late_report;
 mod log_reader;
 mod memory;
 mod other_writer;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -22,6 +24,7 @@
 
 pub fn play(case: &str, record: &Record, has_trouble: bool) -> Verdict {
     match case {
+        "late-report" => late_report::play(record, has_trouble),
         "other-writer" => other_writer::play(record, has_trouble),
         "memory" => memory::play(record, has_trouble),
         "log-reader" => log_reader::play(record, has_trouble),
@@ -45,22 +48,26 @@
             if stop.load(Ordering::Relaxed) {
                 return;
             }
-            let record = record.clone();
-            thread::spawn(move || {
-                let id = format!("c{}-{number}", node + 1);
-                let key = number.wrapping_mul(40_503) % 65_536;
-                let request = Request::new("GET", &format!("/price/work-80/{number}"))
-                    .header("Host", "shop.example")
-                    .header("Request-Id", &id)
-                    .header("Shard-Key", key)
-                    .header("Deadline-Ms", 1_500);
-                let answer = match http::call(address, &request, Duration::from_millis(2_000)) {
-                    Ok(response) => response.status.to_string(),
-                    Err(error) => format!("no answer ({error})"),
-                };
-                record.add(format!("request {id} key {key} at node {}: {answer}", node + 1));
-            });
+            lookup(address, &record, node, number, (number.wrapping_mul(40_503) % 65_536) as u16);
             thread::sleep(Duration::from_millis(100));
         }
     });
 }
+
+/// Sends a lookup for a key to a node, without waiting for the answer.
+fn lookup(address: SocketAddr, record: &Record, node: usize, number: u32, key: u16) {
+    let record = record.clone();
+    thread::spawn(move || {
+        let id = format!("c{}-{number}", node + 1);
+        let request = Request::new("GET", &format!("/price/work-80/{number}"))
+            .header("Host", "shop.example")
+            .header("Request-Id", &id)
+            .header("Shard-Key", key)
+            .header("Deadline-Ms", 1_500);
+        let answer = match http::call(address, &request, Duration::from_millis(2_000)) {
+            Ok(response) => response.status.to_string(),
+            Err(error) => format!("no answer ({error})"),
+        };
+        record.add(format!("request {id} key {key} at node {}: {answer}", node + 1));
+    });
+}
--- a/review/standins-2/cases/other_writer.rs
+++ b/review/standins-2/cases/other_writer.rs
@@ -59,7 +59,7 @@
 }
 
 /// Watches the workers for a time; returns the longest time for which two held the same keys.
-fn watch_holders(deployment: &Deployment, time: Duration) -> (Duration, String) {
+pub fn watch_holders(deployment: &Deployment, time: Duration) -> (Duration, String) {
     let end = Instant::now() + time;
     let mut since: HashMap<(usize, usize), Instant> = HashMap::new();
     let mut longest = (Duration::ZERO, String::new());
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -157,7 +157,7 @@
         (json::map(fields), freed.len())
     }
 
-    fn report(&self) {
+    pub fn report(&self) {
         let sent = Instant::now();
         let (body, freed) = self.next_report();
         let request = Request::new("POST", &self.report_path())
