--- a/review/standins-2/cases/late_report.rs
+++ b/review/standins-2/cases/late_report.rs
@@ -49,7 +49,8 @@
                 worker.report();
             }
             reports.attempts.fetch_add(1, Ordering::Relaxed);
-            let is_releasing = worker.state.lock().unwrap().holds.iter().any(|hold| hold.is_releasing);
+            let is_releasing =
+                worker.state.lock().unwrap().holds.iter().any(|hold| hold.is_releasing);
             let pause = if is_releasing { Duration::from_millis(100) } else { HEARTBEAT };
             thread::sleep(pause.saturating_sub(start.elapsed()));
         }
--- a/review/standins-2/cases/log_reader.rs
+++ b/review/standins-2/cases/log_reader.rs
@@ -54,7 +54,11 @@
             Ok(response) => response.status.to_string(),
             Err(error) => format!("no answer ({error})"),
         };
-        record.add(format!("request {id} at node {}: {status} after {} ms", node + 1, took.as_millis()));
+        record.add(format!(
+            "request {id} at node {}: {status} after {} ms",
+            node + 1,
+            took.as_millis()
+        ));
         if node > 0 {
             return;
         }
@@ -127,7 +131,9 @@
     }
     // Later than 5 s after the burst, nothing but its log reader differs from before.
     let (unanswered, late) = tallies[3];
-    let text = format!("of {unanswered} requests without an answer at the timeout, {late} have none 0.5 s later");
+    let text = format!(
+        "of {unanswered} requests without an answer at the timeout, {late} have none 0.5 s later"
+    );
     match late * 2 > unanswered {
         true => Verdict::Broken(text),
         false => Verdict::Held(text),
--- a/review/standins-2/cases/memory.rs
+++ b/review/standins-2/cases/memory.rs
@@ -127,12 +127,14 @@
         if noted.elapsed() > Duration::from_secs(2) {
             noted = Instant::now();
             let sent = sent.load(Ordering::Relaxed);
-            record.add(format!("node 1 uses {} kB after {sent} requests of the crowd", used / 1_000));
+            record
+                .add(format!("node 1 uses {} kB after {sent} requests of the crowd", used / 1_000));
         }
         if fetches && fetched.elapsed() > FETCH_INTERVAL {
             fetched = Instant::now();
             let request = Request::new("GET", "/metrics").header("Host", "node");
-            let answer = http::call(deployment.nodes[0].metrics(), &request, Duration::from_secs(2));
+            let answer =
+                http::call(deployment.nodes[0].metrics(), &request, Duration::from_secs(2));
             record.add(format!("metrics: {} bytes", answer.map_or(0, |answer| answer.body.len())));
         }
         if used > MEMORY_MB * 1_000_000 {
--- a/review/standins-2/cases/other_writer.rs
+++ b/review/standins-2/cases/other_writer.rs
@@ -64,8 +64,12 @@
     let mut since: HashMap<(usize, usize), Instant> = HashMap::new();
     let mut longest = (Duration::ZERO, String::new());
     while Instant::now() < end {
-        let held: Vec<Vec<(u16, u16)>> =
-            deployment.workers.iter().filter(|worker| worker.is_sharded).map(|w| w.held()).collect();
+        let held: Vec<Vec<(u16, u16)>> = deployment
+            .workers
+            .iter()
+            .filter(|worker| worker.is_sharded)
+            .map(|w| w.held())
+            .collect();
         let now = Instant::now();
         for first in 0..held.len() {
             for second in first + 1..held.len() {
@@ -96,7 +100,8 @@
 }
 
 pub fn play(record: &Record, has_trouble: bool) -> Verdict {
-    let services = [("quote", true), ("quote", true), ("quote", true), ("quote", true), ("lots", false)];
+    let services =
+        [("quote", true), ("quote", true), ("quote", true), ("quote", true), ("lots", false)];
     let mut deployment = Deployment::new(&services, record);
     deployment.store.put("op/config", CONFIG);
     deployment.nodes.iter_mut().for_each(|node| node.start());
@@ -131,6 +136,8 @@
     let text = format!("{what} at the same time for {} ms", before.max(after).as_millis());
     match before.max(after) > BOUND {
         true => Verdict::Broken(text),
-        false => Verdict::Held(format!("no two workers held the same keys for {} ms", BOUND.as_millis())),
+        false => {
+            Verdict::Held(format!("no two workers held the same keys for {} ms", BOUND.as_millis()))
+        }
     }
 }
--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -27,18 +27,13 @@
     pub fn with_memory(services: &[(&str, bool)], memory_mb: u64, record: &Record) -> Deployment {
         let folder = std::env::temp_dir();
         let store = Store::start();
-        let mut deployment = Deployment {
-            store,
-            nodes: Vec::new(),
-            workers: Vec::new(),
-            record: record.clone(),
-        };
+        let mut deployment =
+            Deployment { store, nodes: Vec::new(), workers: Vec::new(), record: record.clone() };
         for (index, (service, is_sharded)) in services.iter().enumerate() {
             let store = deployment.store.address;
             let node = Node::new(&folder, index, service, store, memory_mb, record);
             let id = format!("i-{:04x}", 0xa100 + index);
-            let worker =
-                Worker::start(&id, service, *is_sharded, node.app, node.control, record);
+            let worker = Worker::start(&id, service, *is_sharded, node.app, node.control, record);
             deployment.nodes.push(node);
             deployment.workers.push(worker);
         }
@@ -80,4 +75,3 @@
         false
     }
 }
-
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -79,10 +79,6 @@
         self
     }
 
-    pub fn get(&self, name: &str) -> &str {
-        find(&self.headers, name)
-    }
-
     pub fn text(&self) -> String {
         String::from_utf8_lossy(&self.body).into_owned()
     }
--- a/review/standins-2/json.rs
+++ b/review/standins-2/json.rs
@@ -246,19 +246,3 @@
     }
     out
 }
-
-pub fn from_base64(text: &str) -> Vec<u8> {
-    let mut out = Vec::new();
-    let (mut bits, mut count) = (0_u32, 0);
-    for byte in text.bytes() {
-        let Some(value) = LETTERS.iter().position(|letter| *letter == byte) else { break };
-        bits = bits << 6 | value as u32;
-        count += 6;
-        if count >= 8 {
-            count -= 8;
-            out.push((bits >> count) as u8);
-            bits &= (1 << count) - 1;
-        }
-    }
-    out
-}
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -41,10 +41,6 @@
     leases: HashMap<u64, Lease>,
     revision: u64,
     next_lease: u64,
-    /// Time of an answer.
-    answer_time: Duration,
-    /// Whether all calls are answered 503.
-    is_down: bool,
 }
 
 #[derive(Clone)]
@@ -134,9 +130,11 @@
 
     fn range(&self, prefix: &str, after: &str) -> Response {
         let items = self.items.iter();
-        let mut items = items
-            .filter(|(key, _)| key.starts_with(prefix) && (after.is_empty() || key.as_str() > after));
-        let page: Vec<Json> = items.by_ref().take(500).map(|(key, item)| to_json(key, item)).collect();
+        let mut items = items.filter(|(key, _)| {
+            key.starts_with(prefix) && (after.is_empty() || key.as_str() > after)
+        });
+        let page: Vec<Json> =
+            items.by_ref().take(500).map(|(key, item)| to_json(key, item)).collect();
         let truncated = items.next().is_some();
         answer(
             200,
@@ -172,8 +170,6 @@
             leases: HashMap::new(),
             revision: 1,
             next_lease: 70_000,
-            answer_time: ANSWER_TIME,
-            is_down: false,
         };
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
@@ -202,31 +198,8 @@
         self.state.1.notify_all();
     }
 
-    /// Returns the values of the items with this prefix, as text.
-    pub fn values(&self, prefix: &str) -> Vec<(String, String)> {
-        let state = self.state.0.lock().unwrap();
-        let items = state.items.iter().filter(|(key, _)| key.starts_with(prefix));
-        let value = |item: &Item| String::from_utf8_lossy(&json::from_base64(&item.value)).into_owned();
-        items.map(|(key, item)| (key.clone(), value(item))).collect()
-    }
-
-    pub fn set_answer_time(&self, time: Duration) {
-        self.state.0.lock().unwrap().answer_time = time;
-    }
-
-    pub fn set_down(&self, is_down: bool) {
-        self.state.0.lock().unwrap().is_down = is_down;
-    }
-
     fn respond(&self, request: &Request) -> Option<Response> {
-        let (answer_time, is_down) = {
-            let state = self.state.0.lock().unwrap();
-            (state.answer_time, state.is_down)
-        };
-        std::thread::sleep(answer_time);
-        if is_down {
-            return Some(answer(503, &json::map(Vec::new())));
-        }
+        std::thread::sleep(ANSWER_TIME);
         let body = String::from_utf8_lossy(&request.body);
         let body = Json::parse(&body).unwrap_or(Json::Null);
         let path = request.path().to_owned();
@@ -237,7 +210,9 @@
         state.expire();
         let id = path.rsplit('/').next().and_then(|id| id.parse::<u64>().ok()).unwrap_or_default();
         let response = match (request.method.as_str(), path.as_str()) {
-            ("GET", "/v1/kv-range") => state.range(&request.query("prefix"), &request.query("after")),
+            ("GET", "/v1/kv-range") => {
+                state.range(&request.query("prefix"), &request.query("after"))
+            }
             ("GET", "/v1/kv-key") => match state.items.get(&request.query("key")) {
                 Some(item) => answer(200, &to_json(&request.query("key"), item)),
                 None => answer(404, &json::map(Vec::new())),
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -84,7 +84,14 @@
             address,
             control,
             is_sharded,
-            state: Arc::new(Mutex::new(WorkerState { sequence, holds, freed, running, waiting, runs: Vec::new() })),
+            state: Arc::new(Mutex::new(WorkerState {
+                sequence,
+                holds,
+                freed,
+                running,
+                waiting,
+                runs: Vec::new(),
+            })),
             is_silent: Arc::default(),
             record: record.clone(),
         };
@@ -134,11 +141,13 @@
         *sequence += 1;
         let number = |number: u16| Json::Int(i64::from(number));
         let held = holds.iter();
-        let held =
-            held.map(|hold| Json::List(vec![number(hold.first), number(hold.last), Json::Int(hold.fence)]));
+        let held = held.map(|hold| {
+            Json::List(vec![number(hold.first), number(hold.last), Json::Int(hold.fence)])
+        });
         let released = freed.iter();
-        let released = released
-            .map(|(first, last, token)| Json::List(vec![number(*first), number(*last), json::text(token)]));
+        let released = released.map(|(first, last, token)| {
+            Json::List(vec![number(*first), number(*last), json::text(token)])
+        });
         let mut fields = vec![
             ("service", json::text(&self.service)),
             ("address", json::text(self.address.to_string())),
@@ -187,9 +196,8 @@
             is_releasing: false,
         });
         let rows: Vec<Hold> = rows.collect();
-        let is_kept = |hold: &Hold| {
-            rows.iter().any(|row| row.first <= hold.first && hold.last <= row.last)
-        };
+        let is_kept =
+            |hold: &Hold| rows.iter().any(|row| row.first <= hold.first && hold.last <= row.last);
         let mut left_out: Vec<Hold> =
             state.holds.iter().filter(|hold| !is_kept(hold)).cloned().collect();
         for hold in left_out.iter_mut().filter(|hold| !hold.is_releasing) {
@@ -201,7 +209,8 @@
         }
         for row in &rows {
             let is_new = !state.holds.iter().any(|hold| {
-                !hold.is_releasing && (hold.first, hold.last, hold.fence) == (row.first, row.last, row.fence)
+                !hold.is_releasing
+                    && (hold.first, hold.last, hold.fence) == (row.first, row.last, row.fence)
             });
             if is_new {
                 self.record.add(format!(
@@ -282,7 +291,11 @@
             .header("Request-Id", &id)
             .header("Keep-Alive", "timeout=10")
             .header("Server-Load", load);
-        Some(if status == 200 { response.header("Response-Signature", signature(&id)) } else { response })
+        Some(if status == 200 {
+            response.header("Response-Signature", signature(&id))
+        } else {
+            response
+        })
     }
 
     /// Takes a slot, after a wait if all are in use; returns the status of a rejection.
@@ -327,7 +340,8 @@
 
 /// Returns the signature of the answer to a request, which the client checks.
 pub fn signature(id: &str) -> String {
-    let sum = id.bytes().fold(7_u64, |sum, byte| sum.wrapping_mul(31).wrapping_add(u64::from(byte)));
+    let sum =
+        id.bytes().fold(7_u64, |sum, byte| sum.wrapping_mul(31).wrapping_add(u64::from(byte)));
     format!("{sum:x}")
 }
 
