Free the keys of earlier grants by one rule that a new run can't get wrong

Cause: what earlier runs granted is in the rows of the store, but a new run took its first report for the truth. A later start alone counted as the end of the owner, and a row that a report doesn't list counted as released; only the third rule, lapsed grants, took earlier runs into account. Ruled out: the missing check of the service before a configuration is known is not enough, as a report that names another service that exists frees the keys as well.

A run reads the rows of its node before it believes a report; their latest owner is the worker until it has been replaced, and rows of the first read are released by two reports, or when the grants of the earlier run have lapsed. A report under another identifier makes the node ask the process at the worker's address for its own; one under the same identifier is believed when it is repeated. Reports get 503 until the configuration, the members and the rows are known. A wrong belief ends when the right worker reports twice while the other is silent. Rows of an incarnation that ended unseen wait for its own grants and not for those of its successor, which are renewed for ever.

A restarted node still moves no keys in the simulation.

The simulation gives a worker no reply to a report that its node ignored, as the node does.

--- a/crates/fleet/src/grant.rs
+++ b/crates/fleet/src/grant.rs
@@ -1,5 +1,9 @@
 //! Grants of key ranges to the worker beside the node.
 
+mod claim;
+mod inherited;
+mod settlement;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -104,8 +108,17 @@
     /// The result isn't known before a newer revision is read, so a row is never granted again at
     /// this revision.
     relinquished: HashMap<u16, u64>,
-    /// Until when an incarnation that isn't known to have ended may hold keys.
+    /// Until when the worker may hold keys if it isn't known to have ended.
     possibly_held_until: time::Instant,
+    /// The same time for all other incarnations.
+    others_held_until: time::Instant,
+    /// Grants of earlier runs of the node.
+    inherited: inherited::InheritedGrants,
+    /// Latest start of an incarnation that this run knows to have ended, in Unix milliseconds; all
+    /// that started earlier have ended, too.
+    ended_by_unix_ms: Option<u64>,
+    /// Another incarnation that reports, but isn't known to have replaced the worker.
+    claim: Option<claim::WorkerClaim>,
     /// When a connection was first refused since the last report or accepted connection.
     refused_since: Option<time::Instant>,
 }
@@ -122,6 +135,10 @@
             handovers: HashMap::new(),
             relinquished: HashMap::new(),
             possibly_held_until: now + registration::takeover_delay(),
+            others_held_until: now + registration::takeover_delay(),
+            inherited: inherited::InheritedGrants::new(now),
+            ended_by_unix_ms: None,
+            claim: None,
             refused_since: None,
         }
     }
@@ -145,6 +162,22 @@
         }
     }
 
+    /// Applies the rows of the store when they are read for the first time. They show which
+    /// incarnation earlier runs of the node may have granted keys; a report of another one that
+    /// came before isn't believed any more.
+    pub fn restore_ranges(&mut self, now: time::Instant, ranges: &range::RangeTable) {
+        if self.inherited.is_known() {
+            return;
+        }
+        self.inherited.set_rows(&self.node, ranges);
+        let holder = self.inherited.holder(now);
+        let is_other =
+            |known: &mut known_worker::KnownWorker| holder.is_some_and(|h| *h != known.report.name);
+        if let Some(known) = self.worker.take_if(is_other) {
+            self.claim = Some(claim::WorkerClaim::after(None, &known.report));
+        }
+    }
+
     /// Returns the worker that left last, which the record of the host must name.
     pub fn departure(&self) -> Option<departure::DepartedWorker> {
         self.departures.due(self.leaving_report())
@@ -188,8 +221,9 @@
         now.since(self.worker.as_ref().map_or(self.started_at, |known| known.reported_at))
     }
 
-    /// Applies a report unless it is stale. A report that was sent before the worker deregistered
-    /// may arrive after that, and doesn't make it ready again.
+    /// Applies a report unless it is stale or of an incarnation that isn't known to be the worker.
+    /// A report that was sent before the worker deregistered may arrive after that, and doesn't
+    /// make it ready again.
     pub fn apply_report(
         &mut self,
         now: time::Instant,
@@ -197,13 +231,21 @@
     ) -> ReportStatus {
         let status = self.status_of(now, &report);
         match status {
-            ReportStatus::Stale | ReportStatus::Unconfirmed => return status,
+            ReportStatus::Stale | ReportStatus::Unconfirmed => {
+                if self.incumbent(now).is_some_and(|incumbent| *incumbent != report.name) {
+                    self.claim = Some(claim::WorkerClaim::after(self.claim.take(), &report));
+                }
+                return status;
+            }
             ReportStatus::NewWorker => {
+                self.record_replacement(now, &report);
                 self.handovers.clear();
                 self.worker = None;
             }
             ReportStatus::Current => {}
         }
+        self.claim = None;
+        self.inherited.observe(now, &report);
         self.refused_since = None;
         if self.handovers.len() > MAX_HANDOVERS {
             self.handovers.clear();
@@ -232,8 +274,7 @@
                 }
             }
             None => {
-                let inherited_until = self.started_at + registration::takeover_delay();
-                let state = known_worker::GrantState::new(self.delivery, inherited_until);
+                let state = known_worker::GrantState::new(self.delivery, self.inherited.until());
                 let reported_at = now;
                 self.worker = Some(known_worker::KnownWorker {
                     report,
@@ -249,24 +290,80 @@
         status
     }
 
+    /// Returns the incarnation that is taken for the worker: that of the last report which was
+    /// believed or, before the first one, the one that earlier runs of the node may have granted
+    /// keys.
+    fn incumbent(&self, now: time::Instant) -> Option<&member::WorkerName> {
+        let known = self.worker.as_ref().map(|known| &known.report.name);
+        known.or_else(|| self.inherited.holder(now))
+    }
+
     fn status_of(&self, now: time::Instant, report: &worker_report::WorkerReport) -> ReportStatus {
-        let Some(known) = &self.worker else { return ReportStatus::NewWorker };
-        if report.name == known.report.name {
-            if known.has_ended || report.sequence <= known.report.sequence {
-                return ReportStatus::Stale;
-            }
-            return ReportStatus::Current;
+        let Some(incumbent) = self.incumbent(now) else { return ReportStatus::NewWorker };
+        if report.name == *incumbent {
+            return match &self.worker {
+                Some(known) if known.has_ended || report.sequence <= known.report.sequence => {
+                    ReportStatus::Stale
+                }
+                Some(_) => ReportStatus::Current,
+                None => ReportStatus::NewWorker,
+            };
         }
-        if report.started_unix_ms <= known.report.started_unix_ms {
-            return ReportStatus::Stale;
+        let has_ended = self.worker.as_ref().is_some_and(|known| known.has_ended);
+        let silence = self.silence(now);
+        let is_confirmed = self.claim.as_ref().is_some_and(|claim| {
+            claim.is_confirmed(incumbent, report, silence, MAX_REPORT_SILENCE)
+        });
+        if report.started_unix_ms <= incumbent.started_unix_ms() {
+            return match is_confirmed && !has_ended {
+                true => ReportStatus::NewWorker,
+                false => ReportStatus::Stale,
+            };
         }
-        let is_restarted = report.name.id() == known.report.name.id();
-        match is_restarted || known.is_replaced(now, self.possibly_held_until) {
+        match is_confirmed || self.is_replaced(now, incumbent) {
             true => ReportStatus::NewWorker,
             false => ReportStatus::Unconfirmed,
         }
     }
 
+    /// Returns whether the sender of a report that started later than `incumbent` has replaced it.
+    /// The report alone doesn't show that: its sender may be another program.
+    fn is_replaced(&self, now: time::Instant, incumbent: &member::WorkerName) -> bool {
+        let may_hold_keys = self.inherited.includes_worker(now, incumbent);
+        self.worker.as_ref().map_or(!may_hold_keys, |known| {
+            known.has_left_address()
+                || !(may_hold_keys || known.may_hold_keys(now, self.possibly_held_until))
+        })
+    }
+
+    /// Records that the sender of a report replaces the incumbent, which has ended if it started
+    /// earlier.
+    fn record_replacement(&mut self, now: time::Instant, report: &worker_report::WorkerReport) {
+        let Some(incumbent) = self.incumbent(now) else { return };
+        let (before, started) = (incumbent.started_unix_ms(), report.started_unix_ms);
+        self.others_held_until = self.others_held_until.max(self.possibly_held_until);
+        if before < started {
+            self.ended_by_unix_ms = self.ended_by_unix_ms.max(Some(before));
+        }
+        if self.ended_by_unix_ms >= Some(started) {
+            self.ended_by_unix_ms = started.checked_sub(1);
+        }
+    }
+
+    /// Returns whether a report of `worker` waits for the identifier of the process at the address
+    /// of the worker, see `identify`.
+    pub fn is_identification_due(&self, now: time::Instant, worker: &member::WorkerName) -> bool {
+        let incumbent = self.incumbent(now);
+        incumbent.is_some_and(|incumbent| incumbent.id() != worker.id())
+    }
+
+    /// Records that the process at the address of the worker has named `id` as its own.
+    pub fn identify(&mut self, id: &str) {
+        if let Some(claim) = &mut self.claim {
+            claim.identify(id);
+        }
+    }
+
     /// Records that all connections to the worker that were open at its last report have been
     /// closed, and at least one since then, as they are when it ends.
     pub fn disconnected(&mut self) {
@@ -300,7 +397,8 @@
         }
         known.has_ended = true;
         known.state = known_worker::GrantState::new(self.delivery, now);
-        self.possibly_held_until = now;
+        self.ended_by_unix_ms = self.ended_by_unix_ms.max(Some(known.report.started_unix_ms));
+        (self.possibly_held_until, self.others_held_until) = (now, now);
         true
     }
 
@@ -467,33 +565,6 @@
         }
     }
 
-    /// Returns the changes that only this node may make: those of rows that its worker has released
-    /// or lost. `record` is the revision of the host's record; the next run of the node changes it,
-    /// so that no change of this run is applied after that one has granted the keys again.
-    pub fn settle(
-        &mut self,
-        now: time::Instant,
-        service: &Arc<str>,
-        ranges: &range::ServiceRanges,
-        record: u64,
-        era: &era::EraTracker,
-    ) -> Vec<plan::RangeChange> {
-        let mut changes = Vec::new();
-        let is_settling = era.is_settling(now);
-        let is_due =
-            |stored: &&range::StoredRow| !is_settling || !era::is_inherited(stored.row.fence);
-        for stored in ranges.rows().filter(is_due) {
-            if let Some(row) = self.settle_row(now, stored) {
-                self.relinquished.insert(stored.row.first, stored.revision);
-                let reason = plan::ChangeReason::Settled;
-                let mut change = plan::RangeChange::replace_row(service, reason, stored, row);
-                change.records.push((Arc::clone(&self.node), record));
-                changes.push(change);
-            }
-        }
-        plan::merge(changes, era.max_change_ops())
-    }
-
     /// Returns the next change that writes ranges again which the worker holds by grants of earlier
     /// eras of the store, or `None` if there are none left. `ranges` are those read in `era`.
     pub fn restore(
@@ -514,62 +585,6 @@
         change.records.push((Arc::clone(&self.node), record));
         Some(change)
     }
-
-    fn settle_row(&self, now: time::Instant, stored: &range::StoredRow) -> Option<range::RangeRow> {
-        let row = &stored.row;
-        let owner = row.owner.as_ref().filter(|owner| owner.node == self.node)?;
-        let known = self.worker.as_ref();
-        let current = known.filter(|known| known.report.name == owner.worker);
-        let Some(known) = current else {
-            // If a later incarnation runs beside the node, the owner has ended: a worker that may
-            // hold keys isn't replaced before (`status_of`). An earlier incarnation is known by a
-            // late report only. Otherwise the owner counts as ended when no grant can be
-            // in force any more.
-            let started = owner.worker.started_unix_ms();
-            let is_succeeded = known.is_some_and(|known| known.report.started_unix_ms > started);
-            let has_ended = is_succeeded || now >= self.possibly_held_until;
-            return has_ended.then(|| self.reassigned(row));
-        };
-        // Grants that expired during an outage are renewed with the worker's next report.
-        let is_presumed_ended = !self.is_reporting(now)
-            && now >= known.granted_until()
-            && now >= self.possibly_held_until;
-        if known.has_ended || is_presumed_ended {
-            return Some(self.reassigned(row));
-        }
-        let handover = known.released_row(now, row, &self.handovers)?;
-        if let Some(successor) = &row.successor {
-            return Some(row.with_owner(successor.clone(), handover));
-        }
-        if self.relinquished.get(&row.first) == Some(&stored.revision) {
-            return Some(row.without_owner(handover));
-        }
-        if era::is_inherited(row.fence) && known.report.state == member::WorkerState::Ready {
-            return Some(row.with_owner(owner.clone(), handover));
-        }
-        let is_again_due = matches!(known.state, known_worker::GrantState::Calls(_))
-            && known.report.state == member::WorkerState::Ready;
-        // The fencing token under which the range was released isn't used again.
-        is_again_due.then(|| row.with_owner(owner.clone(), handover))
-    }
-
-    /// Returns a row whose owner has ended with its new owner: the chosen successor or else, if it
-    /// takes new requests, the incarnation that runs now. Otherwise the row has no owner.
-    fn reassigned(&self, row: &range::RangeRow) -> range::RangeRow {
-        if let Some(successor) = &row.successor {
-            return row.with_owner(successor.clone(), Arc::default());
-        }
-        let ready =
-            self.current_report().filter(|report| report.state == member::WorkerState::Ready);
-        match ready {
-            Some(report) if row.owner.as_ref().is_some_and(|o| o.worker != report.name) => {
-                let node = Arc::clone(&self.node);
-                let owner = range::RangeHolder { worker: report.name.clone(), node };
-                row.with_owner(owner, Arc::default())
-            }
-            _ => row.without_owner(Arc::default()),
-        }
-    }
 }
 
 /// Returns the grant of a row to a worker that holds `holds`, and needs no handover token for
--- a/crates/fleet/src/known_worker.rs
+++ b/crates/fleet/src/known_worker.rs
@@ -84,7 +84,11 @@
     }
 
     /// Returns whether the worker may hold keys, which it has been granted or reports as held.
-    fn may_hold_keys(&self, now: time::Instant, possibly_held_until: time::Instant) -> bool {
+    pub(crate) fn may_hold_keys(
+        &self,
+        now: time::Instant,
+        possibly_held_until: time::Instant,
+    ) -> bool {
         let is_granted = match &self.state {
             GrantState::Replies(replies) => {
                 !replies.granted.is_empty() || !replies.acknowledged.is_empty()
@@ -95,17 +99,10 @@
         now < until && (is_granted || !self.report.holds.is_empty())
     }
 
-    /// Returns whether the sender of a report under another identifier, which started later, has
-    /// replaced the worker. The report alone doesn't show that: its sender may be another program.
-    pub(crate) fn is_replaced(
-        &self,
-        now: time::Instant,
-        possibly_held_until: time::Instant,
-    ) -> bool {
-        self.has_ended
-            || self.has_deregistered
-            || self.is_disconnected
-            || !self.may_hold_keys(now, possibly_held_until)
+    /// Returns whether the worker has ended or announced its end, as far as it is known, so that
+    /// another one may use its address.
+    pub(crate) fn has_left_address(&self) -> bool {
+        self.has_ended || self.has_deregistered || self.is_disconnected
     }
 
     /// Returns the handover token, if it is known, of a row that the worker doesn't hold any more
--- a/crates/fleet/tests/grant.rs
+++ b/crates/fleet/tests/grant.rs
@@ -17,10 +17,11 @@
 
 const UNIX_NOW_MS: u64 = 1_000;
 
-/// Returns the grants of a node that has just read the record of its host.
+/// Returns the grants of a node that has just read the record of its host, and no rows.
 fn new_grants(departed: Option<DepartedWorker>) -> WorkerGrants {
     let mut grants = WorkerGrants::new(Arc::from("node"), GrantDelivery::Replies, NOW);
     grants.restore_departure(departed);
+    grants.restore_ranges(NOW, &RangeTable::default());
     grants
 }
 
--- a/crates/fleet/tests/ownership.rs
+++ b/crates/fleet/tests/ownership.rs
@@ -21,10 +21,11 @@
     (0..steps).for_each(|_| simulation.step());
 }
 
-fn run_seed(seed: u64, delivery: GrantDelivery) {
+fn run_seed(seed: u64, delivery: GrantDelivery, has_odd_reports: bool) {
     let mut simulation = simulation::Simulation::new(seed, 4, delivery);
     run(&mut simulation, 400);
     simulation.has_prompt_calls = false;
+    simulation.has_odd_reports = has_odd_reports;
     for step in 0..FAULT_STEPS {
         simulation.step();
         if step % 25 == 0 {
@@ -75,6 +76,7 @@
 fn clear_faults(simulation: &mut simulation::Simulation) {
     simulation.store.is_down = false;
     simulation.has_prompt_calls = true;
+    simulation.has_odd_reports = false;
     simulation.evacuate(&[]);
     for index in 0..simulation.nodes.len() {
         simulation.nodes[index].is_partitioned = false;
@@ -94,7 +96,7 @@
 fn no_key_has_two_holders() {
     (0..60).for_each(|seed| {
         eprintln!("seed {seed}");
-        run_seed(seed, GrantDelivery::Replies);
+        run_seed(seed, GrantDelivery::Replies, false);
     });
 }
 
@@ -104,10 +106,22 @@
 fn no_key_has_two_holders_when_grants_are_calls() {
     (0..60).for_each(|seed| {
         eprintln!("seed {seed}");
-        run_seed(seed, GrantDelivery::Calls);
+        run_seed(seed, GrantDelivery::Calls, false);
     });
 }
 
+/// Guards against giving away keys that the worker holds when a node believes a late report or that
+/// of another program, in particular as the first one after its start.
+#[test]
+fn no_key_has_two_holders_when_reports_are_late_or_of_other_programs() {
+    for delivery in DELIVERIES {
+        (100..140).for_each(|seed| {
+            eprintln!("seed {seed}, grants by {delivery}");
+            run_seed(seed, delivery, true);
+        });
+    }
+}
+
 #[test]
 fn keys_are_held_soon_after_the_start() {
     for delivery in DELIVERIES {
--- a/crates/fleet/tests/simulation/mod.rs
+++ b/crates/fleet/tests/simulation/mod.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod entry;
 mod parts;
+mod reports;
 pub(crate) mod store;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -91,6 +92,9 @@
     pub(crate) registers_in_steps: bool,
     /// Whether the store carries some transactions out seconds later, without an answer.
     pub(crate) has_late_commits: bool,
+    /// Whether some reports arrive seconds late, and other programs send some, too.
+    pub(crate) has_odd_reports: bool,
+    late_reports: Vec<reports::LateReport>,
 }
 
 fn service() -> Arc<str> {
@@ -117,6 +121,8 @@
             has_prompt_calls: true,
             evacuations: evacuation::EvacuationSet::default(),
             has_late_commits: false,
+            has_odd_reports: false,
+            late_reports: Vec::new(),
             registers_in_steps: false,
         };
         for index in 0..size {
@@ -152,6 +158,7 @@
         if !self.store.is_down {
             self.store.expire(self.now);
         }
+        self.deliver_odd_reports();
         for index in 0..self.workers.len() {
             self.step_worker(index);
         }
@@ -184,6 +191,22 @@
         if !self.nodes[index].is_up || self.workers[index].is_partitioned {
             return;
         }
+        if self.has_odd_reports && self.random.u8(0..100) < 12 {
+            return self.hold_up_report(index);
+        }
+        let report = self.next_report(index);
+        self.workers[index].freed.clear();
+        let Some(reply) = self.report(index, report) else { return };
+        // One reply in 20 is delayed; replies delayed by a second or more are lost.
+        let delay = if self.random.u8(0..20) == 0 { self.random.u64(0..1_300) } else { 0 };
+        if delay < 1_000 {
+            let at = now + Duration::from_millis(delay);
+            self.workers[index].delayed_reply = Some((at, now, reply));
+        }
+    }
+
+    /// Returns the next report of a worker.
+    fn next_report(&mut self, index: usize) -> worker_report::WorkerReport {
         let name = self.name(index);
         let worker = &mut self.workers[index];
         worker.sequence += 1;
@@ -193,7 +216,7 @@
             last: hold.last,
             fence: hold.fence,
         };
-        let report = worker_report::WorkerReport {
+        worker_report::WorkerReport {
             name,
             started_unix_ms: worker.started_unix_ms,
             sequence: worker.sequence,
@@ -204,22 +227,26 @@
             warm_up: Duration::ZERO,
             lists_ranges: true,
             holds: worker.holds.iter().filter(|_| !is_by_calls).map(held).collect(),
-            freed: std::mem::take(&mut worker.freed),
-        };
+            freed: worker.freed.clone(),
+        }
+    }
+
+    /// Delivers a report to a node; returns the reply.
+    fn report(
+        &mut self,
+        index: usize,
+        report: worker_report::WorkerReport,
+    ) -> Option<grant::GrantReply> {
+        let now = self.now;
         let node = &mut self.nodes[index];
-        node.grants.apply_report(now, report);
-        if !node.registration.covers(node.table.era()) {
-            return;
+        let status = node.grants.apply_report(now, report);
+        if matches!(status, grant::ReportStatus::Stale | grant::ReportStatus::Unconfirmed)
+            || !node.registration.covers(node.table.era())
+        {
+            return None;
         }
         let ranges = node.table.service("prices");
-        let reply = node.grants.reply(now, &node.registration, ranges, MAX_HOLD);
-        let Some(reply) = reply else { return };
-        // One reply in 20 is delayed; replies delayed by a second or more are lost.
-        let delay = if self.random.u8(0..20) == 0 { self.random.u64(0..1_300) } else { 0 };
-        if delay < 1_000 {
-            let at = now + Duration::from_millis(delay);
-            self.workers[index].delayed_reply = Some((at, now, reply));
-        }
+        node.grants.reply(now, &node.registration, ranges, MAX_HOLD)
     }
 
     fn apply_reply(&mut self, index: usize, sent: Instant, reply: &grant::GrantReply) {
@@ -293,6 +320,7 @@
         }
         node.read_revision = Some(self.store.revision());
         node.grants.restore_departure(node.directory.record(&node.name).departed);
+        node.grants.restore_ranges(self.now, &node.table);
     }
 
     /// Sends a transaction that was decided in `era`; returns its revision if its answer arrives.
--- a/crates/sidecar/src/health.rs
+++ b/crates/sidecar/src/health.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use cornelridge_fleet::warm_up;
 use cornelridge_model::time;
-use http::{HeaderValue, Request, header};
+use http::{HeaderValue, Request, header, response};
 use http_body_util::{BodyExt, Full, Limited};
 
 use crate::adapter;
@@ -79,25 +79,18 @@
     /// Sends a check and evaluates the answer, which must be of the known worker.
     async fn exchange(
         &self,
-        mut connection: connections::PooledConnection,
+        connection: connections::PooledConnection,
         worker: &str,
         path: &str,
     ) -> worker::CheckResult {
-        let host = self.local_worker.address.to_string();
-        let request = Request::get(path).header(header::HOST, host).body(Full::new(Bytes::new()));
-        let Ok(request) = request else { return worker::CheckResult::Lost };
-        let response = match connection.send(request).await {
-            Ok(response) => response,
+        let parts = match request_health(&self.local_worker, connection, path).await {
+            Ok(parts) => parts,
             Err(connections::ExchangeError::NotSent) => return worker::CheckResult::NotSent,
             Err(connections::ExchangeError::Broken(reason)) => {
                 log::info!(worker, reason:% = reason; "health check not answered");
                 return worker::CheckResult::Lost;
             }
         };
-        let (parts, body) = response.into_parts();
-        if Limited::new(body, MAX_BODY_BYTES).collect().await.is_ok() {
-            connection.put_back();
-        }
         let names = self.format.headers();
         let sender = parts.headers.get(&names.worker).map(HeaderValue::as_bytes);
         if !parts.status.is_success() || sender != Some(worker.as_bytes()) {
@@ -111,6 +104,36 @@
     }
 }
 
+/// Sends a health check to the worker; returns the head of the answer.
+async fn request_health(
+    local_worker: &worker::LocalWorker,
+    mut connection: connections::PooledConnection,
+    path: &str,
+) -> Result<response::Parts, connections::ExchangeError> {
+    let host = local_worker.address.to_string();
+    let request = Request::get(path).header(header::HOST, host).body(Full::new(Bytes::new()));
+    let invalid = |error: http::Error| connections::ExchangeError::Broken(error.to_string());
+    let (parts, body) = connection.send(request.map_err(invalid)?).await?.into_parts();
+    if Limited::new(body, MAX_BODY_BYTES).collect().await.is_ok() {
+        connection.put_back();
+    }
+    Ok(parts)
+}
+
+/// Returns the identifier that the process at the address of the worker names in the answer to a
+/// health check, whatever its status; `None` if it names none.
+pub(crate) async fn read_identifier(
+    local_worker: &worker::LocalWorker,
+    format: &dyn adapter::FormatAdapter,
+    path: &str,
+) -> Option<String> {
+    // A connection that is kept open may lead to an earlier process.
+    let connection = local_worker.check_pool().open().await.ok()?;
+    let parts = request_health(local_worker, connection, path).await.ok()?;
+    let identifier = parts.headers.get(&format.headers().worker)?;
+    identifier.to_str().ok().map(str::to_owned)
+}
+
 /// Reads the remaining warm-up; a value that can't be read shows nothing.
 fn read_warm_up(value: Option<&HeaderValue>) -> worker::CheckResult {
     let Some(value) = value else { return worker::CheckResult::Answered(None) };
--- a/crates/sidecar/src/reports.rs
+++ b/crates/sidecar/src/reports.rs
@@ -1,6 +1,7 @@
 //! Handling of the reports of the worker beside the node.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use cornelridge_fleet::grant;
@@ -13,15 +14,16 @@
 
 use crate::adapter;
 use crate::clock;
+use crate::health;
 use crate::http_server;
 use crate::memory;
 use crate::segments;
 use crate::view;
 use crate::worker;
 
-/// Longest delay of the reply to a report while waiting for a change of the worker's assigned
-/// ranges, so that keys are granted and released at once and not with the next report. A worker
-/// accepts a reply within a second.
+/// Longest delay of the reply to a report while waiting for the items of the store at the start of
+/// the node, or for a change of the worker's assigned ranges, so that keys are granted and released
+/// at once and not with the next report. A worker accepts a reply within a second.
 const MAX_REPLY_DELAY: time::Duration = time::Duration::from_millis(600);
 /// Longest delay of an acknowledgement while the departure of the worker is written to the store.
 const MAX_RECORD_DELAY: time::Duration = time::Duration::from_millis(700);
@@ -81,15 +83,22 @@
             );
             return json_response(self.format.encode_reply(None));
         }
-        let config = self.view.config();
-        if config.as_ref().is_some_and(|config| config.config.service(&report.service).is_none()) {
+        let end = clock::now() + MAX_REPLY_DELAY;
+        let Some(config) = self.await_view(end).await else {
+            log::warn!(
+                worker:% = report.name;
+                "report not acknowledged: the items of the store aren't known yet"
+            );
+            return http_server::plain(StatusCode::SERVICE_UNAVAILABLE, "not ready");
+        };
+        if config.config.service(&report.service).is_none() {
             log::warn!(
                 worker:% = report.name, service:% = report.service;
                 "report ignored: its service isn't configured"
             );
             return json_response(self.format.encode_reply(None));
         }
-        let is_divided = config.is_some_and(|config| config.config.is_divided(&report.service));
+        let is_divided = config.config.is_divided(&report.service);
         // Workers that are granted keys by calls are released from them by calls, too.
         let needs_ranges = is_divided && self.delivery == grant::GrantDelivery::Replies;
         if needs_ranges && !report.lists_ranges {
@@ -101,8 +110,13 @@
         let (name, slots) = (report.name.clone(), report.slots);
         let (sequence, warm_up_left) = (report.sequence, report.warm_up);
         let service = Arc::clone(&report.service);
+        self.local_worker.restore(&self.view);
         let before = self.local_worker.grants().current_report().map(|known| known.state);
-        let status = self.apply_report(report);
+        let mut status = self.apply_report(report.clone());
+        if status == grant::ReportStatus::Unconfirmed && self.identify(&config, &report, end).await
+        {
+            status = self.apply_report(report);
+        }
         match status {
             grant::ReportStatus::Stale => {
                 log::info!(worker:% = name; "report ignored: a newer one has been received");
@@ -111,7 +125,7 @@
             grant::ReportStatus::Unconfirmed => {
                 log::warn!(
                     worker:% = name, service:% = service;
-                    "report of another worker ignored: the known one may hold keys and isn't \
+                    "report of another incarnation ignored: the known one may hold keys and isn't \
                      known to have ended"
                 );
                 return json_response(self.format.encode_reply(None));
@@ -127,7 +141,6 @@
             grant::ReportStatus::Current => self.local_worker.set_slots(slots),
         }
         self.local_worker.record_reported_warm_up(warm_up_left);
-        self.local_worker.restore(&self.view);
         let state = self.local_worker.grants().current_report().map(|known| known.state);
         if let Some(state) = state.filter(|state| before != Some(*state)) {
             log::info!(worker:% = name, state:? = state; "worker state changed");
@@ -140,7 +153,7 @@
         if !is_divided {
             return json_response(self.format.encode_reply(None));
         }
-        self.await_change(&service, &name, sequence).await;
+        self.await_change(&service, &name, sequence, end).await;
         self.reply(&service, &name, sequence)
     }
 
@@ -160,10 +173,51 @@
         status
     }
 
-    /// Waits until the ranges assigned to the worker differ from those that it holds, for at most
-    /// `MAX_REPLY_DELAY`.
-    async fn await_change(&self, service: &str, worker: &member::WorkerName, sequence: u64) {
-        let end = clock::now() + MAX_REPLY_DELAY;
+    /// Waits until `end` for the configuration, the members and the ranges. Without these it isn't
+    /// known which reports can be of the worker.
+    async fn await_view(&self, end: time::Instant) -> Option<Arc<view::ActiveConfig>> {
+        loop {
+            let changed = self.view.changed();
+            let config = self.view.config();
+            if config.is_some() && self.view.is_loaded.load(Ordering::Relaxed) {
+                return config;
+            }
+            clock::timeout_at(end, changed).await?;
+        }
+    }
+
+    /// Asks the process at the address of the worker for its identifier until `end`, if that can
+    /// show that the sender of a report is the worker; returns whether it answered.
+    async fn identify(
+        &self,
+        config: &view::ActiveConfig,
+        report: &worker_report::WorkerReport,
+        end: time::Instant,
+    ) -> bool {
+        let is_due = self.local_worker.grants().is_identification_due(clock::now(), &report.name);
+        let service = config.config.service(&report.service).filter(|_| is_due);
+        let Some(path) = service.and_then(|service| service.health_path.as_deref()) else {
+            return false;
+        };
+        let identifier = health::read_identifier(&self.local_worker, &*self.format, path);
+        let Some(id) = clock::timeout_at(end, identifier).await.flatten() else { return false };
+        log::info!(
+            worker:% = report.name, id:% = id;
+            "the process at the address of the worker named its identifier"
+        );
+        self.local_worker.grants().identify(&id);
+        true
+    }
+
+    /// Waits until the ranges assigned to the worker differ from those that it holds, or until
+    /// `end`.
+    async fn await_change(
+        &self,
+        service: &str,
+        worker: &member::WorkerName,
+        sequence: u64,
+        end: time::Instant,
+    ) {
         loop {
             let changed = self.view.changed();
             let may_defer = {
--- a/crates/sidecar/src/worker.rs
+++ b/crates/sidecar/src/worker.rs
@@ -155,11 +155,15 @@
         lock(&self.grants)
     }
 
-    /// Applies the record of the host once the items of the store have been read.
+    /// Applies the record of the host and the rows of the worker once the items of the store have
+    /// been read.
     pub(crate) fn restore(&self, view: &view::FleetView) {
         if view.is_loaded.load(Ordering::Relaxed) {
             let record = view.directory().record(&self.node);
-            self.grants().restore_departure(record.departed);
+            let ranges = view.ranges();
+            let mut grants = self.grants();
+            grants.restore_ranges(clock::now(), &ranges);
+            grants.restore_departure(record.departed);
         }
     }
 
--- a/crates/sidecar/tests/nodes/reporting.rs
+++ b/crates/sidecar/tests/nodes/reporting.rs
@@ -11,13 +11,21 @@
 async fn report_of_other(
     deployment: &Deployment,
     holds: Option<Vec<(u16, u16, u64)>>,
+) -> StatusCode {
+    report_of_service(deployment, "prices", holds).await
+}
+
+async fn report_of_service(
+    deployment: &Deployment,
+    service: &str,
+    holds: Option<Vec<(u16, u16, u64)>>,
 ) -> StatusCode {
     let host = &deployment.hosts[0];
     let report = StandInReport {
         id: "other".to_owned(),
         born: 1_700_000_000_000,
         sequence: 1,
-        service: "prices".to_owned(),
+        service: service.to_owned(),
         address: host.worker.address,
         slots: 8,
         is_leaving: true,
@@ -53,3 +61,20 @@
         }
     });
 }
+
+/// Guards against a worker that is never granted keys when another program's report is the first
+/// one that its node gets, before it knows which services exist.
+#[test]
+fn a_report_before_the_configuration_is_known_takes_no_place() {
+    block_on(async {
+        let deployment = Deployment::start(&["prices"]).await;
+        let status = report_of_service(&deployment, "unknown", Some(Vec::new())).await;
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "nothing is acknowledged yet");
+        deployment.configure(1);
+        deployment.wait_until_served("/price/x", Some(7)).await;
+        let status = report_of_service(&deployment, "unknown", Some(Vec::new())).await;
+        assert_eq!(status, StatusCode::OK);
+        let response = deployment.call(0, "after", "/price/x", Some(7)).await;
+        assert_eq!(response.status, StatusCode::OK);
+    });
+}
