Record the deregistration of an incarnation that isn't taken for the worker

Callers would see requests at a worker after its departure was acknowledged, seconds later.

Cause: a deregistration was kept only where no worker was known. Beside a known one of another identifier it was answered 200, since nothing was to be recorded, and forgotten.

Change: it is kept and written to the record of the host in both cases, and acknowledged when the record has it. While the record must name the known worker, it gets 503. It applies to incarnations that started before it.

--- a/crates/fleet/src/departure.rs
+++ b/crates/fleet/src/departure.rs
@@ -28,7 +28,7 @@
     }
 }
 
-/// Deregistration of a worker that hasn't reported to this run of the node.
+/// Deregistration of a worker that this run of the node doesn't take for its own.
 #[derive(Clone, Debug)]
 struct EarlyDeregistration {
     id: Arc<str>,
@@ -74,19 +74,21 @@
         latest.is_some_and(|worker| worker.includes(report.name.id(), report.started_unix_ms))
     }
 
-    /// Records the deregistration of a worker that hasn't reported.
+    /// Records the deregistration of a worker that this run doesn't take for its own.
     pub(crate) fn deregister(&mut self, now: time::Instant, unix_ms: u64, id: &str) {
         self.early = Some(EarlyDeregistration { id: Arc::from(id), at: now, unix_ms });
     }
 
-    /// Returns when the sender of a first report deregistered, if it did so before the report.
+    /// Returns when the sender of a first report deregistered, if it did so before the report. An
+    /// incarnation that started later isn't the one that deregistered.
     pub(crate) fn take_deregistration(
         &mut self,
         now: time::Instant,
         report: &worker_report::WorkerReport,
     ) -> Option<time::Instant> {
-        let early = self.early.take()?;
-        let is_same = *early.id == *report.name.id() && now.since(early.at) < MAX_REPORT_DELAY;
+        let early = self.early.take_if(|early| *early.id == *report.name.id())?;
+        let is_same =
+            report.started_unix_ms <= early.unix_ms && now.since(early.at) < MAX_REPORT_DELAY;
         is_same.then_some(early.at)
     }
 
--- a/crates/fleet/src/grant.rs
+++ b/crates/fleet/src/grant.rs
@@ -189,6 +189,13 @@
         self.departures.is_complete(self.leaving_report())
     }
 
+    /// Returns whether the deregistration of `id` is in the store, so that it can be acknowledged.
+    /// The record has no space for one beside the departure of the known worker.
+    pub fn is_deregistration_recorded(&self, id: &str) -> bool {
+        let leaving = self.leaving_report();
+        leaving.is_none_or(|report| report.name.id() == id) && self.departures.is_complete(leaving)
+    }
+
     /// Returns the last report of the worker if it is leaving.
     fn leaving_report(&self) -> Option<&worker_report::WorkerReport> {
         let leaving = self.worker.as_ref().filter(|known| known.leaving_since.is_some());
@@ -375,13 +382,10 @@
     /// Records that a worker announced its end, at `unix_ms` by the time of day; returns whether it
     /// is the known worker, which may still work on the keys that it holds until it exits.
     pub fn deregister(&mut self, now: time::Instant, unix_ms: u64, id: &str) -> bool {
-        let Some(known) = &mut self.worker else {
+        let Some(known) = self.worker.as_mut().filter(|known| known.report.name.id() == id) else {
             self.departures.deregister(now, unix_ms, id);
             return false;
         };
-        if known.report.name.id() != id {
-            return false;
-        }
         known.report.state = member::WorkerState::Draining;
         known.has_deregistered = true;
         known.leaving_since.get_or_insert(now);
--- a/crates/fleet/tests/restarts.rs
+++ b/crates/fleet/tests/restarts.rs
@@ -232,3 +232,29 @@
     grants.apply_report(LAPSED, report("next", 9, 7, Vec::new()));
     assert_eq!(freed_to(&mut grants, LAPSED, &table), ["far", "next"]);
 }
+
+/// Guards against a departure that is acknowledged and forgotten, because the node takes another
+/// incarnation for the worker when the deregistration comes.
+#[test]
+fn the_deregistration_of_an_incarnation_that_is_not_believed_yet_is_recorded() {
+    const UNIX_NOW_MS: u64 = 1_000;
+    let table = table();
+    let mut grants = restarted(&table);
+    grants.apply_report(at(10), report("w", 5, 40, both_held()));
+    let next = |sequence| report("next", 9, sequence, Vec::new());
+    assert_eq!(grants.apply_report(at(800), next(1)), ReportStatus::Unconfirmed);
+    assert!(!grants.deregister(at(900), UNIX_NOW_MS, "next"));
+    assert!(!grants.is_deregistration_recorded("next"), "it is not to be acknowledged yet");
+    grants.restore_departure(grants.departure());
+    assert!(grants.is_deregistration_recorded("next"));
+    assert_eq!(grants.apply_report(LAPSED, next(2)), ReportStatus::NewWorker);
+    assert_eq!(grants.leaving_since(), Some(at(900)));
+
+    let mut grants = restarted(&table);
+    grants.apply_report(at(10), report("w", 5, 40, both_held()));
+    grants.deregister(at(20), UNIX_NOW_MS, "w");
+    grants.restore_departure(grants.departure());
+    grants.deregister(at(30), UNIX_NOW_MS, "next");
+    assert!(!grants.is_deregistration_recorded("next"), "the record names the known worker");
+    assert!(grants.is_deregistration_recorded("w"));
+}
--- a/crates/sidecar/src/reports.rs
+++ b/crates/sidecar/src/reports.rs
@@ -147,7 +147,7 @@
             self.entry_changed.notify(usize::MAX);
         }
         let is_leaving = self.local_worker.grants().leaving_since().is_some();
-        if is_leaving && !self.await_record().await {
+        if is_leaving && !self.await_record(grant::WorkerGrants::is_departure_recorded).await {
             return unacknowledged(&name.0);
         }
         if !is_divided {
@@ -270,22 +270,23 @@
         if self.local_worker.grants().deregister(clock::now(), clock::unix_ms(), id) {
             log::info!(id; "worker deregistered; it is about to exit");
         } else {
-            log::info!(id; "deregistration of a worker that isn't known to this node");
+            log::info!(id; "deregistration of a worker that isn't the known one");
         }
         self.entry_changed.notify(usize::MAX);
-        match self.await_record().await {
+        let is_recorded = |grants: &grant::WorkerGrants| grants.is_deregistration_recorded(id);
+        match self.await_record(is_recorded).await {
             true => http_server::plain(StatusCode::OK, "{}"),
             false => unacknowledged(id),
         }
     }
 
-    /// Waits until the departure of the worker is in the store; returns `false` after
+    /// Waits until the departure of a worker is in the store; returns `false` after
     /// `MAX_RECORD_DELAY`.
-    async fn await_record(&self) -> bool {
+    async fn await_record(&self, is_recorded: impl Fn(&grant::WorkerGrants) -> bool) -> bool {
         let end = clock::now() + MAX_RECORD_DELAY;
         loop {
             let changed = self.local_worker.changed();
-            if self.local_worker.grants().is_departure_recorded() {
+            if is_recorded(&self.local_worker.grants()) {
                 return true;
             }
             if clock::timeout_at(end, changed).await.is_none() {
