Queue log lines, so that a node doesn't wait for the reader of its log

If standard output and standard error lost their reader together, requests ended without an answer.

Cause: each line was written by the task that logs, and all tasks of a node share a thread. The limit of lines bounds the volume, at more than a pipe holds. Ruled out: no lock is held across the write. The logger panicked when it couldn't report its own error.

What doesn't fit is dropped, counted (cornelridge_log_lines_dropped_total) and reported when there is space again. Panics are logged.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -31,6 +31,7 @@
 mod headers;
 mod ingress;
 mod loads;
+pub mod log_queue;
 pub mod logs;
 mod membership;
 mod meter;
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -1,4 +1,5 @@
-//! Logging to stderr or stdout, with a limit for repeated lines.
+//! Logging to stderr or stdout, with a limit for repeated lines. Lines are queued and written by
+//! a thread of their own.
 //!
 //! Lines are counted by call site, or by the value of the key `limit` where a line has one:
 //!
@@ -11,16 +12,21 @@
 
 use std::collections::HashMap;
 use std::io;
+use std::os::fd::AsFd;
+use std::panic;
 use std::sync::{Mutex, OnceLock, PoisonError};
 use std::time as std_time;
 
 use cornelridge_model::time;
 use flexi_logger::filter::{LogLineFilter, LogLineWriter};
-use flexi_logger::{DeferredNow, FlexiLoggerError, LogSpecification, Logger, LoggerHandle};
+use flexi_logger::{
+    DeferredNow, ErrorChannel, FlexiLoggerError, LogSpecification, Logger, LoggerHandle,
+};
 use log::{Level, LevelFilter, Record, kv};
 use serde_json::{Map, Value};
 use thiserror::Error;
 
+use crate::log_queue;
 use crate::settings;
 
 /// Maximum number of lines of one call site in one window.
@@ -119,8 +125,14 @@
 
 /// Error at the start of the logger.
 #[derive(Debug, Error)]
-#[error("logging can't start ({0}): remove the other logger of this process")]
-pub struct LogError(#[from] FlexiLoggerError);
+pub enum LogError {
+    /// Another logger is installed.
+    #[error("logging can't start ({0}): remove the other logger of this process")]
+    Logger(#[from] FlexiLoggerError),
+    /// The output stream can't be used.
+    #[error("logging can't start ({0}): open standard output and standard error")]
+    Stream(#[from] io::Error),
+}
 
 static LOGGER: OnceLock<LoggerHandle> = OnceLock::new();
 
@@ -133,7 +145,8 @@
     Stdout,
 }
 
-/// Installs the logger; further calls in the same process have no effect.
+/// Installs the logger; further calls in the same process have no effect. Lines are never waited
+/// for; [`log_queue::finish`] writes those that are queued at the end of the process.
 pub fn install(
     level: settings::LogLevel,
     format: settings::LogFormat,
@@ -147,22 +160,39 @@
         settings::LogFormat::Text => write_text,
         settings::LogFormat::Json => write_json,
     };
-    let logger = Logger::with(specification(level));
-    let logger = match target {
-        LogTarget::Stderr => logger.log_to_stderr(),
-        LogTarget::Stdout => logger.log_to_stdout(),
+    let stream = match target {
+        LogTarget::Stderr => log_queue::unlocked_stream(io::stderr().as_fd())?,
+        LogTarget::Stdout => log_queue::unlocked_stream(io::stdout().as_fd())?,
     };
-    let logger =
-        logger.format(format_line).filter(Box::new(LimitFilter::new(lines_per_window))).start();
+    let (writer, guard) = log_queue::QueueWriter::start(stream, format_line);
+    let logger = Logger::with(specification(level))
+        .log_to_writer(Box::new(writer))
+        .filter(Box::new(LimitFilter::new(lines_per_window)))
+        // Standard error may have no reader either.
+        .error_channel(ErrorChannel::DevNull)
+        .panic_if_error_channel_is_broken(false)
+        .start();
     match logger {
-        Ok(handle) => drop(LOGGER.set(handle)),
+        Ok(handle) => {
+            guard.keep();
+            drop(LOGGER.set(handle));
+        }
         // Another thread may have installed the logger since the first check.
         Err(_) if LOGGER.get().is_some() => {}
-        Err(error) => return Err(LogError(error)),
+        Err(error) => return Err(LogError::Logger(error)),
     }
     Ok(())
 }
 
+/// Logs panics instead of writing them to standard error, which would wait for its reader.
+pub fn log_panics() {
+    panic::set_hook(Box::new(|panic| {
+        let location = panic.location().map(ToString::to_string).unwrap_or_default();
+        let message = panic.payload_as_str().unwrap_or_default();
+        log::error!(location, message; "a task panicked");
+    }));
+}
+
 fn specification(level: settings::LogLevel) -> LogSpecification {
     let level = match level {
         settings::LogLevel::Error => LevelFilter::Error,
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -5,6 +5,7 @@
 use std::process;
 
 use async_signal::{Signal, Signals};
+use cornelridge::log_queue;
 use cornelridge::logs;
 use cornelridge::metering;
 use cornelridge::node;
@@ -15,6 +16,12 @@
 const PLATFORM_COMMAND: &str = "platform";
 
 fn main() -> process::ExitCode {
+    let code = start();
+    log_queue::finish();
+    code
+}
+
+fn start() -> process::ExitCode {
     let mut arguments = env::args_os().skip(1).peekable();
     if arguments.next_if(|argument| argument == PLATFORM_COMMAND).is_some() {
         return run_on_platform(arguments);
@@ -40,6 +47,7 @@
         eprintln!("{error}");
         return process::ExitCode::from(settings::EXIT_FAILURE);
     }
+    logs::log_panics();
     // Only the executor thread polls the sockets; `smol::block_on` here would compete with it and
     // turn each event into a wake-up between threads.
     match future::block_on(smol::spawn(async move { run(&settings).await })) {
@@ -59,6 +67,7 @@
         eprintln!("{error}");
         return process::ExitCode::from(settings::EXIT_FAILURE);
     }
+    logs::log_panics();
     if let Err(error) = metering::install() {
         log::warn!("failed to install the metrics recorder: {error}");
     }
--- a/crates/node/src/metering.rs
+++ b/crates/node/src/metering.rs
@@ -51,6 +51,9 @@
 /// Requests of operators; label `status`, the HTTP status.
 pub const OPERATOR_REQUESTS: &str = "cornelridge_operator_requests_total";
 
+/// Lines of the log that weren't written, because its reader is too slow or has gone away.
+pub const LOG_LINES_DROPPED: &str = "cornelridge_log_lines_dropped_total";
+
 /// Upper bounds of the latency histograms, in seconds; 0.011 is the target of the design size.
 pub const LATENCY_BUCKETS: &[f64] = &[
     0.000_25, 0.000_5, 0.001, 0.002, 0.004, 0.008, 0.011, 0.016, 0.032, 0.064, 0.125, 0.25, 0.5,
@@ -109,6 +112,7 @@
     spec(STORE_CALLS, MetricKind::Counter, Unit::Count, "calls to the store"),
     spec(CONTROL_BYTES, MetricKind::Counter, Unit::Bytes, "bytes of control traffic"),
     spec(OPERATOR_REQUESTS, MetricKind::Counter, Unit::Count, "requests of operators"),
+    spec(LOG_LINES_DROPPED, MetricKind::Counter, Unit::Count, "log lines that weren't written"),
 ];
 
 static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
