Add up the samples of metrics every second, fetched or not

Cause: the recorder keeps each sample of a histogram until somebody fetches the metrics or calls its upkeep. Only the operators' server of the other form of the node called it. Ruled out: state for each request, as the memory doesn't grow if the metrics are fetched.

Change: a thread that starts with the recorder calls the upkeep every second, in each form of the node; a task would stop all others for a time that grows with the number of samples.

--- a/crates/node/src/metering.rs
+++ b/crates/node/src/metering.rs
@@ -1,9 +1,14 @@
 //! Names, units and recording of metrics.
 
 use std::sync::{Arc, OnceLock};
+use std::thread;
+use std::time as std_time;
 
 use metrics::Unit;
-use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::{
+    Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
+};
+use metrics_util::MetricKindMask;
 use thiserror::Error;
 
 /// Requests from callers that ended; labels `class` and `outcome` (`answered`, `cut`, `failed`).
@@ -60,6 +65,15 @@
     1.0, 2.0, 4.0, 8.0, 16.0, 32.0,
 ];
 
+/// Time between two upkeeps. It bounds the samples that are kept one by one, and the time that a
+/// fetch of the metrics takes to add them up.
+const UPKEEP_INTERVAL: std_time::Duration = std_time::Duration::from_secs(1);
+/// Time after which a counter or histogram that wasn't recorded is removed: its labels name routes
+/// or services, which a later configuration may not have any more.
+const MAX_IDLE: std_time::Duration = std_time::Duration::from_secs(24 * 3_600);
+/// Time between two removals of idle metrics.
+const REMOVAL_INTERVAL: std_time::Duration = std_time::Duration::from_secs(3_600);
+
 /// Type of a metric.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MetricKind {
@@ -122,14 +136,19 @@
 #[error("another metrics recorder is installed: install the one of cornelridge first")]
 pub struct MeteringError;
 
-/// Installs the metrics recorder of this process; further calls have no effect.
+/// Installs the metrics recorder of this process, and a thread for its upkeep, which takes a time
+/// with the number of samples; further calls have no effect.
 ///
 /// Fails if another recorder is installed.
 pub fn install() -> Result<(), MeteringError> {
     let mut result = Ok(());
     HANDLE.get_or_init(|| {
-        let recorder = recorder();
+        let recorder = recorder(MAX_IDLE);
         let handle = recorder.handle();
+        let upkeep = thread::Builder::new().name("metrics".to_owned()).spawn(run_upkeep);
+        if let Err(error) = upkeep {
+            log::error!(error:% = error; "no thread for the upkeep of metrics; memory will grow");
+        }
         result = metrics::set_global_recorder(recorder).map_err(|_| MeteringError);
         describe();
         handle
@@ -142,13 +161,27 @@
     HANDLE.get().map(PrometheusHandle::render).unwrap_or_default()
 }
 
-/// Moves recorded samples into the histograms. Without this, they accumulate between two scrapes.
+/// Moves recorded samples into the histograms, where they are added up. Without this, they
+/// accumulate until somebody fetches the metrics.
 pub fn upkeep() {
     if let Some(handle) = HANDLE.get() {
         handle.run_upkeep();
     }
 }
 
+fn run_upkeep() {
+    let mut removed_at = std_time::Instant::now();
+    loop {
+        thread::sleep(UPKEEP_INTERVAL);
+        upkeep();
+        if removed_at.elapsed() >= REMOVAL_INTERVAL {
+            removed_at = std_time::Instant::now();
+            // The recorder looks for idle metrics when it renders.
+            drop(render());
+        }
+    }
+}
+
 /// Registers the unit and help text of every metric with the recorder of this process.
 pub fn describe() {
     for metric in METRICS {
@@ -169,9 +202,12 @@
     metrics::counter!(OPERATOR_REQUESTS, &labels).increment(1);
 }
 
-fn recorder() -> metrics_exporter_prometheus::PrometheusRecorder {
+/// Returns a recorder that removes counters and histograms which weren't recorded for `max_idle`.
+pub fn recorder(max_idle: std_time::Duration) -> PrometheusRecorder {
     let suffix = Matcher::Suffix("_seconds".to_owned());
     let builder = PrometheusBuilder::new().set_buckets_for_metric(suffix, LATENCY_BUCKETS);
     // `set_buckets_for_metric` fails only for an empty list.
-    builder.unwrap_or_else(|_| PrometheusBuilder::new()).build_recorder()
+    let builder = builder.unwrap_or_else(|_| PrometheusBuilder::new());
+    let mask = MetricKindMask::COUNTER | MetricKindMask::HISTOGRAM;
+    builder.idle_timeout(mask, Some(max_idle)).build_recorder()
 }
--- a/crates/node/src/operators/server.rs
+++ b/crates/node/src/operators/server.rs
@@ -11,7 +11,6 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use tokio_util::sync::CancellationToken;
 
-use crate::metering;
 use crate::operators;
 use crate::operators::answer;
 use crate::operators::route;
@@ -27,8 +26,6 @@
 const REQUEST_TIMEOUT: time::Duration = time::Duration::from_secs(15);
 /// Delay after a failed accept, for example when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(100);
-/// Interval at which recorded samples are moved into histograms, which bounds their memory.
-const UPKEEP_INTERVAL: time::Duration = time::Duration::from_secs(5);
 
 /// The HTTP endpoint for operators of one node.
 #[derive(Clone)]
@@ -53,7 +50,7 @@
         let connections = smol::Executor::new();
         let endpoint = Arc::new(self);
         let accept = accept_all(&endpoint, &listener, &connections);
-        let stopped = future::or(cancel.cancelled(), future::or(accept, upkeep()));
+        let stopped = future::or(cancel.cancelled(), accept);
         connections.run(stopped).await;
     }
 
@@ -107,10 +104,3 @@
         }
     }
 }
-
-async fn upkeep() {
-    loop {
-        smol::Timer::after(UPKEEP_INTERVAL).await;
-        metering::upkeep();
-    }
-}
