Forget the addresses and absences of hosts that were replaced

Cause: the certificate expected at an address, and since when a node has had no entry, were kept until the host returns, which a replaced one never does.

Change: both are forgotten after ten minutes, the second one when the record of the host has been removed, too.

Evidence: the new tests of the decisions; the methods that they call didn't exist before.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod link;
 pub mod member;
 pub mod memory_budget;
+pub mod peer_pins;
 pub mod plan;
 pub mod range;
 pub mod rates;
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -301,6 +301,20 @@
         records.into_iter().filter(is_abandoned).collect()
     }
 
+    /// Forgets nodes that have had no entry for so long that their hosts are taken as gone, and
+    /// whose records have been removed.
+    pub fn remove_gone(&mut self, now: time::Instant) {
+        let records = &self.records;
+        self.missing.retain(|node, since| {
+            records.contains_key(node) || now.since(*since) < RECORD_RETENTION
+        });
+    }
+
+    /// Returns the number of nodes that are known to be missing.
+    pub fn missing_count(&self) -> usize {
+        self.missing.len()
+    }
+
     /// Returns the record of a host; an empty one if the host has none.
     pub fn record(&self, node: &str) -> HostRecord {
         self.records.get(node).map(|(record, _)| record.clone()).unwrap_or_default()
--- a/crates/fleet/tests/member.rs
+++ b/crates/fleet/tests/member.rs
@@ -83,3 +83,23 @@
     directory.set_record(start, "b", departed("w3", 20), revision(1, 4));
     assert!(directory.lost_records(start + delay, delay).is_empty());
 }
+
+/// Guards against memory that grows with each host that was ever replaced.
+#[test]
+fn gone_hosts_are_forgotten_when_their_records_have_been_removed() {
+    let start = Instant(1_000_000);
+    let gone = start + Duration::from_secs(600);
+    let mut directory = MemberDirectory::default();
+    for (node, revision) in [("a", 1), ("b", 2)] {
+        directory.set(entry(node, MemberState::Serving), revision);
+        directory.remove(start, node, revision + 10);
+    }
+    directory.set_record(start, "b", HostRecord::default(), 3);
+    directory.remove_gone(start + Duration::from_secs(599));
+    assert_eq!(directory.missing_count(), 2);
+    directory.remove_gone(gone);
+    assert_eq!(directory.missing_count(), 1, "the record of b is still in the store");
+    directory.remove_record("b", 20);
+    directory.remove_gone(gone);
+    assert_eq!(directory.missing_count(), 0);
+}
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -433,9 +433,12 @@
         result
     }
 
-    /// Removes the state of workers and routes that no longer exist.
+    /// Removes the state of workers, routes and hosts that no longer exist.
     pub(crate) fn remove_stale(&self) {
-        let directory = self.view.directory();
+        let now = clock::now();
+        lock(&self.links.pins).remove_unused(now);
+        let mut directory = self.view.directory();
+        directory.remove_gone(now);
         lock(&self.selector).retain(|worker| directory.by_worker(worker).is_some());
         drop(directory);
         lock(&self.candidate_sets).clear();
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -201,8 +201,7 @@
             worker: None,
         };
         let view = Arc::clone(&started.view);
-        let pins_by_address = Arc::default();
-        let links = peers::PeerLinks { endpoint, view, pins_by_address, memory };
+        let links = peers::PeerLinks { endpoint, view, pins: Arc::default(), memory };
         started.spawn_control(&adapter, &local_worker, &links, base, report_listener);
         started.spawn_planning(&adapter, &local_worker, &links);
         started.spawn_suspects(&adapter, &links);
--- a/crates/sidecar/src/peers.rs
+++ b/crates/sidecar/src/peers.rs
@@ -2,14 +2,13 @@
 
 mod load;
 
-use std::collections::HashMap;
-use std::net;
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
 use cornelridge_fleet::admission;
 use cornelridge_fleet::link;
 use cornelridge_fleet::member;
+use cornelridge_fleet::peer_pins;
 use cornelridge_model::time;
 use cornelridge_policy::quarantine;
 use cornelridge_wire::{codec, generated, headers, suspects, transport};
@@ -45,8 +44,7 @@
 pub(crate) struct PeerLinks {
     pub(crate) endpoint: transport::NodeEndpoint,
     pub(crate) view: Arc<view::FleetView>,
-    /// Certificate expected at the last connection to each address.
-    pub(crate) pins_by_address: Arc<Mutex<HashMap<net::SocketAddr, Arc<str>>>>,
+    pub(crate) pins: Arc<Mutex<peer_pins::PeerPins>>,
     pub(crate) memory: memory::ProcessMemory,
 }
 
@@ -93,10 +91,7 @@
         kind: generated::stream_head::Kind,
     ) -> Option<(transport::FrameWriter, transport::FrameReader)> {
         let address = member.peer;
-        let previous = view::lock(&self.pins_by_address).insert(address, Arc::clone(&member.pin));
-        if previous.is_some_and(|pin| pin != member.pin) {
-            // Another process runs at the address, and the connections to the previous one are
-            // dead.
+        if view::lock(&self.pins).record(clock::now(), address, &member.pin) {
             self.endpoint.remove_peer(address);
         }
         let head = generated::StreamHead { kind: Some(kind) };
