Wait in a test until followers have stopped watching the configuration

followers_read_a_configuration_that_no_feed_can_carry failed in 7 of 7 runs on x86-64, with 0 lists in place of 5.

Cause, traced in 3 of 3 runs: when three nodes watch the items of the nodes, all eight still watch the configuration, as a follower ends that watch up to 0.25 s after its feed began. The large configuration then reaches them by their own watches, and they need not list it. The product does what it should; the test didn't wait for the state that it is about. On a slower machine that time has passed by then.

Change: the test also waits until three nodes at most watch the configuration, as the test of short configurations checks.

--- a/crates/sidecar/tests/nodes/following.rs
+++ b/crates/sidecar/tests/nodes/following.rs
@@ -152,6 +152,11 @@
         deployment.wait_until_served("/v1/x", None).await;
         let store = &deployment.store;
         wait_until("three nodes watch the store", || async { store.watch_count() <= 3 }).await;
+        // A node watches the configuration for up to 0.25 s more after its feed began.
+        wait_until("the others watch no configuration", || async {
+            store.config_watch_count() <= 3
+        })
+        .await;
         let lists = (store.config_lists(), store.node_lists());
         deployment.configure_padded(2, 1_048_576);
         deployment.wait_until_served("/v2/x", None).await;
