--- a/crates/fleet/src/grant.rs
+++ b/crates/fleet/src/grant.rs
@@ -2,6 +2,8 @@
 
 mod claim;
 mod inherited;
+mod replacement;
+mod reply;
 mod settlement;
 
 use std::collections::HashMap;
@@ -29,10 +31,6 @@
 const MAX_HANDOVERS: usize = 512;
 /// When a worker left that an earlier run of the node knew as leaving: its time to drain is over.
 const LONG_AGO: time::Instant = time::Instant(0);
-/// Space for ranges in a reply, in bytes of JSON; workers read replies of at most 4 KiB.
-const MAX_RANGES_BYTES: usize = 3_900;
-/// Space that a range takes besides its fencing token and its handover token, in bytes.
-const RANGE_BYTES: usize = 18;
 /// Time by which grants end earlier for the node than for the worker; covers one dispatch.
 const DISPATCH_MARGIN: time::Duration = time::Duration::from_millis(20);
 
@@ -49,14 +47,6 @@
     pub handover: Arc<str>,
 }
 
-impl GrantedRange {
-    /// Returns the space that the range takes in a reply, in bytes.
-    fn reply_bytes(&self) -> usize {
-        let digits = self.fence.checked_ilog10().unwrap_or_default() as usize + 1;
-        RANGE_BYTES + digits + self.handover.len()
-    }
-}
-
 /// Reply to a report: all ranges that the worker is to hold from now on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GrantReply {
@@ -246,6 +236,7 @@
             }
             ReportStatus::NewWorker => {
                 self.record_replacement(now, &report);
+                self.inherited.forget_reports();
                 self.handovers.clear();
                 self.worker = None;
             }
@@ -297,80 +288,6 @@
         status
     }
 
-    /// Returns the incarnation that is taken for the worker: that of the last report which was
-    /// believed or, before the first one, the one that earlier runs of the node may have granted
-    /// keys.
-    fn incumbent(&self, now: time::Instant) -> Option<&member::WorkerName> {
-        let known = self.worker.as_ref().map(|known| &known.report.name);
-        known.or_else(|| self.inherited.holder(now))
-    }
-
-    fn status_of(&self, now: time::Instant, report: &worker_report::WorkerReport) -> ReportStatus {
-        let Some(incumbent) = self.incumbent(now) else { return ReportStatus::NewWorker };
-        if report.name == *incumbent {
-            return match &self.worker {
-                Some(known) if known.has_ended || report.sequence <= known.report.sequence => {
-                    ReportStatus::Stale
-                }
-                Some(_) => ReportStatus::Current,
-                None => ReportStatus::NewWorker,
-            };
-        }
-        let has_ended = self.worker.as_ref().is_some_and(|known| known.has_ended);
-        let silence = self.silence(now);
-        let is_confirmed = self.claim.as_ref().is_some_and(|claim| {
-            claim.is_confirmed(incumbent, report, silence, MAX_REPORT_SILENCE)
-        });
-        if report.started_unix_ms <= incumbent.started_unix_ms() {
-            return match is_confirmed && !has_ended {
-                true => ReportStatus::NewWorker,
-                false => ReportStatus::Stale,
-            };
-        }
-        match is_confirmed || self.is_replaced(now, incumbent) {
-            true => ReportStatus::NewWorker,
-            false => ReportStatus::Unconfirmed,
-        }
-    }
-
-    /// Returns whether the sender of a report that started later than `incumbent` has replaced it.
-    /// The report alone doesn't show that: its sender may be another program.
-    fn is_replaced(&self, now: time::Instant, incumbent: &member::WorkerName) -> bool {
-        let may_hold_keys = self.inherited.includes_worker(now, incumbent);
-        self.worker.as_ref().map_or(!may_hold_keys, |known| {
-            known.has_left_address()
-                || !(may_hold_keys || known.may_hold_keys(now, self.possibly_held_until))
-        })
-    }
-
-    /// Records that the sender of a report replaces the incumbent, which has ended if it started
-    /// earlier.
-    fn record_replacement(&mut self, now: time::Instant, report: &worker_report::WorkerReport) {
-        let Some(incumbent) = self.incumbent(now) else { return };
-        let (before, started) = (incumbent.started_unix_ms(), report.started_unix_ms);
-        self.others_held_until = self.others_held_until.max(self.possibly_held_until);
-        if before < started {
-            self.ended_by_unix_ms = self.ended_by_unix_ms.max(Some(before));
-        }
-        if self.ended_by_unix_ms >= Some(started) {
-            self.ended_by_unix_ms = started.checked_sub(1);
-        }
-    }
-
-    /// Returns whether a report of `worker` waits for the identifier of the process at the address
-    /// of the worker, see `identify`.
-    pub fn is_identification_due(&self, now: time::Instant, worker: &member::WorkerName) -> bool {
-        let incumbent = self.incumbent(now);
-        incumbent.is_some_and(|incumbent| incumbent.id() != worker.id())
-    }
-
-    /// Records that the process at the address of the worker has named `id` as its own.
-    pub fn identify(&mut self, id: &str) {
-        if let Some(claim) = &mut self.claim {
-            claim.identify(id);
-        }
-    }
-
     /// Records that all connections to the worker that were open at its last report have been
     /// closed, and at least one since then, as they are when it ends.
     pub fn disconnected(&mut self) {
@@ -411,74 +328,6 @@
         self.refused_since = None;
     }
 
-    /// Returns the reply to the last report with the ranges that the worker is to hold for at most
-    /// `max_hold`, or `None` if the node may grant nothing now.
-    pub fn reply(
-        &mut self,
-        now: time::Instant,
-        registration: &registration::EntryRegistration,
-        ranges: Option<&range::ServiceRanges>,
-        max_hold: time::Duration,
-    ) -> Option<GrantReply> {
-        let known = self.worker.as_mut().filter(|known| !known.has_ended)?;
-        let known_worker::GrantState::Replies(replies) = &mut known.state else { return None };
-        let hold = registration.remaining_hold(now)?.min(max_hold);
-        if hold == time::Duration::ZERO {
-            return None;
-        }
-        let holds = &known.report.holds;
-        let mut space = MAX_RANGES_BYTES;
-        // A reply that is too long would cost the worker all its keys, and not only the last ones.
-        let granted: Vec<GrantedRange> = due_rows(&self.relinquished, &known.report.name, ranges)
-            .map(|row| granted_range(row, holds))
-            .map_while(|range| {
-                space = space.checked_sub(range.reply_bytes())?;
-                Some(range)
-            })
-            .collect();
-        replies.granted.clone_from(&granted);
-        replies.granted_until = replies.granted_until.max(known.reported_at + hold);
-        self.possibly_held_until = self.possibly_held_until.max(now + registration::GRANT_TTL);
-        let due = due_rows(&self.relinquished, &known.report.name, ranges).count();
-        Some(GrantReply { withheld: due - granted.len(), ranges: granted, hold })
-    }
-
-    /// Returns whether the reply to the report `sequence` of `worker` may be deferred: the report
-    /// is the last one, and the worker holds exactly the ranges that it is to hold, under grants
-    /// that last at least until `until`.
-    pub fn may_defer_reply(
-        &self,
-        worker: &member::WorkerName,
-        sequence: u64,
-        until: time::Instant,
-        ranges: Option<&range::ServiceRanges>,
-    ) -> bool {
-        let Some(known) = self.worker.as_ref().filter(|known| !known.has_ended) else {
-            return false;
-        };
-        let known_worker::GrantState::Replies(replies) = &known.state else { return false };
-        let report = &known.report;
-        if report.name != *worker
-            || report.sequence != sequence
-            || report.state != member::WorkerState::Ready
-            || !report.freed.is_empty()
-        {
-            return false;
-        }
-        let mut held: Vec<(u16, u16, u64)> =
-            report.holds.iter().map(|held| (held.first, held.last, held.fence)).collect();
-        held.sort_unstable();
-        let due = due_rows(&self.relinquished, worker, ranges);
-        let is_same = due.map(|row| (row.first, row.last, row.fence)).eq(held.iter().copied());
-        is_same && (held.is_empty() || until <= replies.granted_until)
-    }
-
-    /// Returns whether the report `sequence` of `worker` is the last one.
-    pub fn is_latest_report(&self, worker: &member::WorkerName, sequence: u64) -> bool {
-        let known = self.worker.as_ref().map(|known| &known.report);
-        known.is_some_and(|report| report.name == *worker && report.sequence == sequence)
-    }
-
     /// Returns the first and last keys of the ranges that the worker was granted last.
     pub fn granted(&self) -> Vec<(u16, u16)> {
         let Some(known) = self.running() else { return Vec::new() };
@@ -590,24 +439,3 @@
         Some(change)
     }
 }
-
-/// Returns the grant of a row to a worker that holds `holds`, and needs no handover token for
-/// these.
-fn granted_range(row: &range::RangeRow, holds: &[worker_report::HeldRange]) -> GrantedRange {
-    let (first, last, fence) = (row.first, row.last, row.fence);
-    let held = worker_report::HeldRange { first, last, fence };
-    let handover = if holds.contains(&held) { Arc::default() } else { Arc::clone(&row.handover) };
-    GrantedRange { first, last, fence, handover }
-}
-
-/// Returns the rows that a worker is to hold, in the order of their keys.
-fn due_rows<'a>(
-    relinquished: &'a HashMap<u16, u64>,
-    worker: &'a member::WorkerName,
-    ranges: Option<&'a range::ServiceRanges>,
-) -> impl Iterator<Item = &'a range::RangeRow> {
-    let rows = ranges.into_iter().flat_map(range::ServiceRanges::rows);
-    rows.filter(|stored| stored.row.is_held_by(worker) && !era::is_inherited(stored.row.fence))
-        .filter(|stored| relinquished.get(&stored.row.first) != Some(&stored.revision))
-        .map(|stored| &stored.row)
-}
--- a/crates/fleet/src/grant/inherited.rs
+++ b/crates/fleet/src/grant/inherited.rs
@@ -66,9 +66,8 @@
     /// Applies the lists of ranges in a report.
     pub(super) fn observe(&mut self, now: time::Instant, report: &worker_report::WorkerReport) {
         if now >= self.until {
-            self.held = Vec::new();
-            self.released = Vec::new();
-            return;
+            self.rows = self.rows.as_ref().map(|_| Vec::new());
+            return self.forget_reports();
         }
         let is_held = |first: u16, last: u16| {
             report.holds.iter().any(|held| held.first <= last && held.last >= first)
@@ -91,6 +90,12 @@
         self.held.extend(new);
     }
 
+    /// Forgets what the reports of an incarnation have listed, which says nothing of another one.
+    pub(super) fn forget_reports(&mut self) {
+        self.held = Vec::new();
+        self.released = Vec::new();
+    }
+
     /// Returns whether `worker` may hold any keys by these grants.
     pub(super) fn includes_worker(&self, now: time::Instant, worker: &member::WorkerName) -> bool {
         let mut rows = self.rows.iter().flatten();
