Let any worker count as a holder of keys before the rows have been read

A node got a report of its worker and then one of another program under the same identifier before it had read any row, took the second one for a restart, since no row showed that the worker may hold keys, and later counted the owner of its rows as ended.

The node itself doesn't get there, as it answers reports only when it has read the rows; the rule must not depend on that.

--- a/crates/fleet/src/grant/inherited.rs
+++ b/crates/fleet/src/grant/inherited.rs
@@ -96,10 +96,13 @@
         self.released = Vec::new();
     }
 
-    /// Returns whether `worker` may hold any keys by these grants.
+    /// Returns whether `worker` may hold any keys by these grants. Before the rows have been read,
+    /// any worker may.
     pub(super) fn includes_worker(&self, now: time::Instant, worker: &member::WorkerName) -> bool {
-        let mut rows = self.rows.iter().flatten();
-        now < self.until && rows.any(|(owner, range)| owner == worker && !self.is_released(range))
+        let is_held = |(owner, range): &(member::WorkerName, worker_report::HeldRange)| {
+            owner == worker && !self.is_released(range)
+        };
+        now < self.until && self.rows.as_ref().is_none_or(|rows| rows.iter().any(is_held))
     }
 
     /// Returns whether the owner of a row may hold it by these grants: it was assigned before this
--- a/crates/fleet/tests/restarts.rs
+++ b/crates/fleet/tests/restarts.rs
@@ -125,6 +125,13 @@
     assert_eq!(freed_to(&mut grants, at(20), &table), Vec::<String>::new());
     grants.apply_report(at(800), report("w", 5, 40, both_held()));
     assert_eq!(grants.last_incarnation(), Some(&WorkerName::new("w", 5)));
+
+    let mut grants = WorkerGrants::new(Arc::from("node"), GrantDelivery::Calls, START);
+    grants.apply_report(at(10), report("w", 5, 40, Vec::new()));
+    let status = grants.apply_report(at(20), report("w", 9, 1, Vec::new()));
+    assert_eq!(status, ReportStatus::Unconfirmed, "the rows may show that it holds keys");
+    grants.restore_ranges(at(30), &table);
+    assert_eq!(freed_to(&mut grants, at(30), &table), Vec::<String>::new());
 }
 
 /// Guards against two holders of a key when the first reports to a run are late ones of the worker,
