Name the grants of earlier runs apart from the inherited rows of an era

Two things were called inherited. The test of a departure that binds the next run reads the rows with the record, as a node does: since a worker counts as one that may hold keys before that, so that the test failed there. Its assertions are the same.

--- a/crates/fleet/src/grant.rs
+++ b/crates/fleet/src/grant.rs
@@ -1,7 +1,7 @@
 //! Grants of key ranges to the worker beside the node.
 
 mod claim;
-mod inherited;
+mod earlier_grants;
 mod replacement;
 mod reply;
 mod settlement;
@@ -103,7 +103,7 @@
     /// The same time for all other incarnations.
     others_held_until: time::Instant,
     /// Grants of earlier runs of the node.
-    inherited: inherited::InheritedGrants,
+    earlier: earlier_grants::EarlierGrants,
     /// Latest start of an incarnation that this run knows to have ended, in Unix milliseconds; all
     /// that started earlier have ended, too.
     ended_by_unix_ms: Option<u64>,
@@ -126,7 +126,7 @@
             relinquished: HashMap::new(),
             possibly_held_until: now + registration::takeover_delay(),
             others_held_until: now + registration::takeover_delay(),
-            inherited: inherited::InheritedGrants::new(now),
+            earlier: earlier_grants::EarlierGrants::new(now),
             ended_by_unix_ms: None,
             claim: None,
             refused_since: None,
@@ -156,11 +156,11 @@
     /// incarnation earlier runs of the node may have granted keys; a report of another one that
     /// came before isn't believed any more.
     pub fn restore_ranges(&mut self, now: time::Instant, ranges: &range::RangeTable) {
-        if self.inherited.is_known() {
+        if self.earlier.is_known() {
             return;
         }
-        self.inherited.set_rows(&self.node, ranges);
-        let holder = self.inherited.holder(now);
+        self.earlier.set_rows(&self.node, ranges);
+        let holder = self.earlier.holder(now);
         let is_other =
             |known: &mut known_worker::KnownWorker| holder.is_some_and(|h| *h != known.report.name);
         if let Some(known) = self.worker.take_if(is_other) {
@@ -236,14 +236,14 @@
             }
             ReportStatus::NewWorker => {
                 self.record_replacement(now, &report);
-                self.inherited.forget_reports();
+                self.earlier.forget_reports();
                 self.handovers.clear();
                 self.worker = None;
             }
             ReportStatus::Current => {}
         }
         self.claim = None;
-        self.inherited.observe(now, &report);
+        self.earlier.observe(now, &report);
         self.refused_since = None;
         if self.handovers.len() > MAX_HANDOVERS {
             self.handovers.clear();
@@ -272,7 +272,7 @@
                 }
             }
             None => {
-                let state = known_worker::GrantState::new(self.delivery, self.inherited.until());
+                let state = known_worker::GrantState::new(self.delivery, self.earlier.until());
                 let reported_at = now;
                 self.worker = Some(known_worker::KnownWorker {
                     report,
--- a/crates/fleet/src/grant/inherited.rs
+++ b/crates/fleet/src/grant/earlier_grants.rs
@@ -12,7 +12,7 @@
 /// The first reports that a run gets may be late, and come from before a grant of an earlier run.
 /// So a report without a range doesn't show that the worker doesn't hold it.
 #[derive(Clone, Debug)]
-pub(super) struct InheritedGrants {
+pub(super) struct EarlierGrants {
     /// When the last of these grants has run out.
     until: time::Instant,
     /// Rows whose owners are beside this node, with these; `None` before the rows were read.
@@ -23,11 +23,11 @@
     released: Vec<worker_report::HeldRange>,
 }
 
-impl InheritedGrants {
+impl EarlierGrants {
     /// Creates the state of a run that starts now.
-    pub(super) fn new(now: time::Instant) -> InheritedGrants {
+    pub(super) fn new(now: time::Instant) -> EarlierGrants {
         let until = now + registration::takeover_delay();
-        InheritedGrants { until, rows: None, held: Vec::new(), released: Vec::new() }
+        EarlierGrants { until, rows: None, held: Vec::new(), released: Vec::new() }
     }
 
     /// Returns when the last grant of an earlier run has run out.
--- a/crates/fleet/src/grant/replacement.rs
+++ b/crates/fleet/src/grant/replacement.rs
@@ -12,7 +12,7 @@
     /// keys.
     pub(super) fn incumbent(&self, now: time::Instant) -> Option<&member::WorkerName> {
         let known = self.worker.as_ref().map(|known| &known.report.name);
-        known.or_else(|| self.inherited.holder(now))
+        known.or_else(|| self.earlier.holder(now))
     }
 
     pub(super) fn status_of(
@@ -50,7 +50,7 @@
     /// Returns whether the sender of a report that started later than `incumbent` has replaced it.
     /// The report alone doesn't show that: its sender may be another program.
     fn is_replaced(&self, now: time::Instant, incumbent: &member::WorkerName) -> bool {
-        let may_hold_keys = self.inherited.includes_worker(now, incumbent);
+        let may_hold_keys = self.earlier.includes_worker(now, incumbent);
         self.worker.as_ref().map_or(!may_hold_keys, |known| {
             known.has_left_address()
                 || !(may_hold_keys || known.may_hold_keys(now, self.possibly_held_until))
--- a/crates/fleet/src/grant/settlement.rs
+++ b/crates/fleet/src/grant/settlement.rs
@@ -34,7 +34,7 @@
         era: &era::EraTracker,
     ) -> Vec<plan::RangeChange> {
         let mut changes = Vec::new();
-        if !self.inherited.is_known() {
+        if !self.earlier.is_known() {
             return changes;
         }
         let is_settling = era.is_settling(now);
@@ -92,7 +92,7 @@
         };
         // The ledger of calls takes the grants of earlier runs into account itself.
         let is_by_replies = matches!(known.state, known_worker::GrantState::Replies(_));
-        if is_by_replies && self.inherited.includes_row(now, row) {
+        if is_by_replies && self.earlier.includes_row(now, row) {
             return OwnerState::MayHold;
         }
         let released = known.released_row(now, row, &self.handovers);
--- a/crates/fleet/tests/grant.rs
+++ b/crates/fleet/tests/grant.rs
@@ -162,6 +162,7 @@
     restarted.apply_report(LATER, report(4, Vec::new()));
     assert_eq!(restarted.current_report(), None, "the record of the host wasn't read");
     restarted.restore_departure(departed);
+    restarted.restore_ranges(LATER, &RangeTable::default());
     assert_eq!(restarted.current_report().map(|report| report.state), Some(WorkerState::Draining));
     assert!(restarted.leaving_since() < Some(NOW), "the time to drain is over");
     restarted.apply_report(LATER, report(6, Vec::new()));
