--- a/crates/node/src/metering.rs
+++ b/crates/node/src/metering.rs
@@ -56,7 +56,8 @@
 /// Requests of operators; label `status`, the HTTP status.
 pub const OPERATOR_REQUESTS: &str = "cornelridge_operator_requests_total";
 
-/// Lines of the log that weren't written, because its reader is too slow or has gone away.
+/// Lines of the log that weren't written, because its reader is too slow or has gone away. The
+/// process has one log, so this metric has no label `node`.
 pub const LOG_LINES_DROPPED: &str = "cornelridge_log_lines_dropped_total";
 
 /// Upper bounds of the latency histograms, in seconds; 0.011 is the target of the design size.
@@ -102,7 +103,7 @@
     MetricSpec { name, kind, unit, help }
 }
 
-/// All metrics. Each also has the label `node`, because one process may run several nodes.
+/// All metrics of nodes. Each also has the label `node`, because one process may run several nodes.
 pub const METRICS: &[MetricSpec] = &[
     spec(REQUESTS, MetricKind::Counter, Unit::Count, "requests from callers that ended"),
     spec(REQUEST_SECONDS, MetricKind::Histogram, Unit::Seconds, "time of callers' requests"),
@@ -126,7 +127,6 @@
     spec(STORE_CALLS, MetricKind::Counter, Unit::Count, "calls to the store"),
     spec(CONTROL_BYTES, MetricKind::Counter, Unit::Bytes, "bytes of control traffic"),
     spec(OPERATOR_REQUESTS, MetricKind::Counter, Unit::Count, "requests of operators"),
-    spec(LOG_LINES_DROPPED, MetricKind::Counter, Unit::Count, "log lines that weren't written"),
 ];
 
 static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
@@ -184,6 +184,8 @@
 
 /// Registers the unit and help text of every metric with the recorder of this process.
 pub fn describe() {
+    let help = "log lines that weren't written";
+    metrics::describe_counter!(LOG_LINES_DROPPED, Unit::Count, help);
     for metric in METRICS {
         match metric.kind {
             MetricKind::Counter => {
