--- a/crates/fleet/src/grant/claim.rs
+++ b/crates/fleet/src/grant/claim.rs
@@ -36,8 +36,9 @@
     /// Returns whether a report shows that its sender is the worker, and `incumbent` isn't any
     /// more. The claim ends with each report of the incumbent, whose `silence` is the time since.
     ///
-    /// An identifier tells processes apart, but not two incarnations of one. These are told apart
-    /// by who goes on reporting: a report that is late or of another program is no repeated one.
+    /// The identifier that the process at the address names can't tell two incarnations with the
+    /// same one apart. Of these, the one that goes on reporting is the worker, as a single report
+    /// may be late or of another program.
     pub(super) fn is_confirmed(
         &self,
         incumbent: &member::WorkerName,
--- a/crates/node/src/log_queue.rs
+++ b/crates/node/src/log_queue.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::io;
 use std::io::Write;
-use std::os::fd::{AsFd, BorrowedFd};
+use std::os::fd::BorrowedFd;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, mpsc};
 use std::thread;
@@ -146,7 +146,7 @@
 /// Returns another descriptor of a standard stream, which is written without the lock of that
 /// stream.
 pub fn unlocked_stream(stream: BorrowedFd<'_>) -> io::Result<fs::File> {
-    Ok(fs::File::from(stream.as_fd().try_clone_to_owned()?))
+    Ok(fs::File::from(stream.try_clone_to_owned()?))
 }
 
 /// Ends the thread of a queue.
--- a/crates/sidecar/src/reports.rs
+++ b/crates/sidecar/src/reports.rs
@@ -91,73 +91,95 @@
             );
             return http_server::plain(StatusCode::SERVICE_UNAVAILABLE, "not ready");
         };
+        if let Some(response) = self.reject(&config, &report) {
+            return response;
+        }
+        self.local_worker.restore(&self.view);
+        let before = self.local_worker.grants().current_report().map(|known| known.state);
+        let mut status = self.apply_report(report.clone());
+        if status == grant::ReportStatus::Unconfirmed && self.identify(&config, &report, end).await
+        {
+            status = self.apply_report(report.clone());
+        }
+        if !self.record_status(status, &report) {
+            return json_response(self.format.encode_reply(None));
+        }
+        let state = self.local_worker.grants().current_report().map(|known| known.state);
+        if let Some(state) = state.filter(|state| before != Some(*state)) {
+            log::info!(worker:% = report.name, state:? = state; "worker state changed");
+            self.entry_changed.notify(usize::MAX);
+        }
+        let is_leaving = self.local_worker.grants().leaving_since().is_some();
+        if is_leaving && !self.await_record(grant::WorkerGrants::is_departure_recorded).await {
+            return unacknowledged(&report.name.0);
+        }
+        if !config.config.is_divided(&report.service) {
+            return json_response(self.format.encode_reply(None));
+        }
+        self.await_change(&report.service, &report.name, report.sequence, end).await;
+        self.reply(&report.service, &report.name, report.sequence)
+    }
+
+    /// Returns the response to a report that is of no use with this configuration.
+    fn reject(
+        &self,
+        config: &view::ActiveConfig,
+        report: &worker_report::WorkerReport,
+    ) -> Option<Response<http_server::ServerBody>> {
         if config.config.service(&report.service).is_none() {
             log::warn!(
                 worker:% = report.name, service:% = report.service;
                 "report ignored: its service isn't configured"
             );
-            return json_response(self.format.encode_reply(None));
+            return Some(json_response(self.format.encode_reply(None)));
         }
-        let is_divided = config.config.is_divided(&report.service);
         // Workers that are granted keys by calls are released from them by calls, too.
-        let needs_ranges = is_divided && self.delivery == grant::GrantDelivery::Replies;
-        if needs_ranges && !report.lists_ranges {
-            return malformed_response(&adapter::MalformedCall {
+        let needs_ranges = config.config.is_divided(&report.service)
+            && self.delivery == grant::GrantDelivery::Replies;
+        let is_malformed = needs_ranges && !report.lists_ranges;
+        is_malformed.then(|| {
+            malformed_response(&adapter::MalformedCall {
                 status: StatusCode::BAD_REQUEST,
                 reason: format!("report of {}: lists of ranges are missing", report.name),
-            });
-        }
-        let (name, slots) = (report.name.clone(), report.slots);
-        let (sequence, warm_up_left) = (report.sequence, report.warm_up);
-        let service = Arc::clone(&report.service);
-        self.local_worker.restore(&self.view);
-        let before = self.local_worker.grants().current_report().map(|known| known.state);
-        let mut status = self.apply_report(report.clone());
-        if status == grant::ReportStatus::Unconfirmed && self.identify(&config, &report, end).await
-        {
-            status = self.apply_report(report);
-        }
+            })
+        })
+    }
+
+    /// Records a report that has been applied; returns `false` if it was ignored.
+    fn record_status(
+        &self,
+        status: grant::ReportStatus,
+        report: &worker_report::WorkerReport,
+    ) -> bool {
         match status {
             grant::ReportStatus::Stale => {
-                log::info!(worker:% = name; "report ignored: a newer one has been received");
-                return json_response(self.format.encode_reply(None));
+                log::info!(worker:% = report.name; "report ignored: a newer one has been received");
+                return false;
             }
             grant::ReportStatus::Unconfirmed => {
                 log::warn!(
-                    worker:% = name, service:% = service;
+                    worker:% = report.name, service:% = report.service;
                     "report of another incarnation ignored: the known one may hold keys and isn't \
                      known to have ended"
                 );
-                return json_response(self.format.encode_reply(None));
+                return false;
             }
             grant::ReportStatus::NewWorker => {
                 log::info!(
-                    worker:% = name, service:% = service, slots;
+                    worker:% = report.name, service:% = report.service, slots = report.slots;
                     "new incarnation of the worker reported"
                 );
-                self.local_worker.handle_restart(slots);
+                self.local_worker.handle_restart(report.slots);
                 self.entry_changed.notify(usize::MAX);
             }
-            grant::ReportStatus::Current => self.local_worker.set_slots(slots),
-        }
-        self.local_worker.record_reported_warm_up(warm_up_left);
-        let state = self.local_worker.grants().current_report().map(|known| known.state);
-        if let Some(state) = state.filter(|state| before != Some(*state)) {
-            log::info!(worker:% = name, state:? = state; "worker state changed");
-            self.entry_changed.notify(usize::MAX);
+            grant::ReportStatus::Current => self.local_worker.set_slots(report.slots),
         }
-        let is_leaving = self.local_worker.grants().leaving_since().is_some();
-        if is_leaving && !self.await_record(grant::WorkerGrants::is_departure_recorded).await {
-            return unacknowledged(&name.0);
-        }
-        if !is_divided {
-            return json_response(self.format.encode_reply(None));
-        }
-        self.await_change(&service, &name, sequence, end).await;
-        self.reply(&service, &name, sequence)
+        self.local_worker.record_reported_warm_up(report.warm_up);
+        true
     }
 
-    /// Applies a report. The first report of an incarnation shows that the previous one has ended.
+    /// Applies a report. If the report of another incarnation is believed, the previous one has
+    /// ended.
     fn apply_report(&self, report: worker_report::WorkerReport) -> grant::ReportStatus {
         let mut grants = self.local_worker.grants();
         if grants.reported_at().is_some_and(|at| self.local_worker.is_disconnected_since(at)) {
