--- a/crates/fleet/tests/simulation/mod.rs
+++ b/crates/fleet/tests/simulation/mod.rs
@@ -205,50 +205,6 @@
         }
     }
 
-    /// Returns the next report of a worker.
-    fn next_report(&mut self, index: usize) -> worker_report::WorkerReport {
-        let name = self.name(index);
-        let worker = &mut self.workers[index];
-        worker.sequence += 1;
-        let is_by_calls = self.delivery == grant::GrantDelivery::Calls;
-        let held = |hold: &Hold| worker_report::HeldRange {
-            first: hold.first,
-            last: hold.last,
-            fence: hold.fence,
-        };
-        worker_report::WorkerReport {
-            name,
-            started_unix_ms: worker.started_unix_ms,
-            sequence: worker.sequence,
-            service: service(),
-            address: address(index),
-            slots: 12,
-            state: worker.state,
-            warm_up: Duration::ZERO,
-            lists_ranges: true,
-            holds: worker.holds.iter().filter(|_| !is_by_calls).map(held).collect(),
-            freed: worker.freed.clone(),
-        }
-    }
-
-    /// Delivers a report to a node; returns the reply.
-    fn report(
-        &mut self,
-        index: usize,
-        report: worker_report::WorkerReport,
-    ) -> Option<grant::GrantReply> {
-        let now = self.now;
-        let node = &mut self.nodes[index];
-        let status = node.grants.apply_report(now, report);
-        if matches!(status, grant::ReportStatus::Stale | grant::ReportStatus::Unconfirmed)
-            || !node.registration.covers(node.table.era())
-        {
-            return None;
-        }
-        let ranges = node.table.service("prices");
-        node.grants.reply(now, &node.registration, ranges, MAX_HOLD)
-    }
-
     fn apply_reply(&mut self, index: usize, sent: Instant, reply: &grant::GrantReply) {
         let name = self.name(index).to_string();
         let worker = &mut self.workers[index];
--- a/crates/fleet/tests/simulation/reports.rs
+++ b/crates/fleet/tests/simulation/reports.rs
@@ -1,11 +1,11 @@
-//! Reports that arrive late, and reports of other programs.
+//! Reports of workers, some of which arrive late, and reports of other programs.
 
 use std::sync::Arc;
 
-use cornelridge_fleet::{member, worker_report};
+use cornelridge_fleet::{grant, member, worker_report};
 use cornelridge_model::time::{Duration, Instant};
 
-use super::{Simulation, address, service};
+use super::{Hold, MAX_HOLD, Simulation, address, service};
 
 /// A report that is held up on its way to the node of a worker.
 pub(crate) struct LateReport {
@@ -15,6 +15,50 @@
 }
 
 impl Simulation {
+    /// Returns the next report of a worker.
+    pub(super) fn next_report(&mut self, index: usize) -> worker_report::WorkerReport {
+        let name = self.name(index);
+        let worker = &mut self.workers[index];
+        worker.sequence += 1;
+        let is_by_calls = self.delivery == grant::GrantDelivery::Calls;
+        let held = |hold: &Hold| worker_report::HeldRange {
+            first: hold.first,
+            last: hold.last,
+            fence: hold.fence,
+        };
+        worker_report::WorkerReport {
+            name,
+            started_unix_ms: worker.started_unix_ms,
+            sequence: worker.sequence,
+            service: service(),
+            address: address(index),
+            slots: 12,
+            state: worker.state,
+            warm_up: Duration::ZERO,
+            lists_ranges: true,
+            holds: worker.holds.iter().filter(|_| !is_by_calls).map(held).collect(),
+            freed: worker.freed.clone(),
+        }
+    }
+
+    /// Delivers a report to a node; returns the reply.
+    pub(super) fn report(
+        &mut self,
+        index: usize,
+        report: worker_report::WorkerReport,
+    ) -> Option<grant::GrantReply> {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let status = node.grants.apply_report(now, report);
+        if matches!(status, grant::ReportStatus::Stale | grant::ReportStatus::Unconfirmed)
+            || !node.registration.covers(node.table.era())
+        {
+            return None;
+        }
+        let ranges = node.table.service("prices");
+        node.grants.reply(now, &node.registration, ranges, MAX_HOLD)
+    }
+
     /// Holds up the next report of a worker for seconds. The worker waits a second for the reply.
     pub(super) fn hold_up_report(&mut self, index: usize) {
         let report = self.next_report(index);
