Write log lines to the standard stream's own descriptor

Cause: the queue of log lines wrote to a duplicate of the descriptor, to avoid the lock of the standard stream. Readers of pipes don't notice; a supervisor that intercepts writes by number does.

Ruled out: a thread that doesn't run there, lines that wait for a threshold.

Change: the queue writes to descriptor 1 or 2 by a system call of rustix, which takes no lock either.

--- a/crates/node/src/log_queue.rs
+++ b/crates/node/src/log_queue.rs
@@ -1,6 +1,5 @@
 //! Queue of log lines that a thread of its own writes, so that no task waits for the log's reader.
 
-use std::fs;
 use std::io;
 use std::io::Write;
 use std::os::fd::BorrowedFd;
@@ -143,10 +142,33 @@
     }
 }
 
-/// Returns another descriptor of a standard stream, which is written without the lock of that
-/// stream.
-pub fn unlocked_stream(stream: BorrowedFd<'_>) -> io::Result<fs::File> {
-    Ok(fs::File::from(stream.try_clone_to_owned()?))
+/// Standard stream that is written without its lock, which another thread may hold while it waits
+/// for the reader.
+///
+/// It writes to the stream's own descriptor: a supervisor may collect what is written to descriptors
+/// 1 and 2 only, and not what is written to copies of them.
+pub struct UnlockedStream(BorrowedFd<'static>);
+
+impl UnlockedStream {
+    /// Returns the standard output.
+    pub fn stdout() -> UnlockedStream {
+        UnlockedStream(rustix::stdio::stdout())
+    }
+
+    /// Returns the standard error.
+    pub fn stderr() -> UnlockedStream {
+        UnlockedStream(rustix::stdio::stderr())
+    }
+}
+
+impl Write for UnlockedStream {
+    fn write(&mut self, data: &[u8]) -> io::Result<usize> {
+        Ok(rustix::io::write(self.0, data)?)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
 }
 
 /// Ends the thread of a queue.
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -12,7 +12,6 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::os::fd::AsFd;
 use std::panic;
 use std::sync::{Mutex, OnceLock, PoisonError};
 use std::time as std_time;
@@ -129,9 +128,6 @@
     /// Another logger is installed.
     #[error("logging can't start ({0}): remove the other logger of this process")]
     Logger(#[from] FlexiLoggerError),
-    /// The output stream can't be used.
-    #[error("logging can't start ({0}): open standard output and standard error")]
-    Stream(#[from] io::Error),
 }
 
 static LOGGER: OnceLock<LoggerHandle> = OnceLock::new();
@@ -161,8 +157,8 @@
         settings::LogFormat::Json => write_json,
     };
     let stream = match target {
-        LogTarget::Stderr => log_queue::unlocked_stream(io::stderr().as_fd())?,
-        LogTarget::Stdout => log_queue::unlocked_stream(io::stdout().as_fd())?,
+        LogTarget::Stderr => log_queue::UnlockedStream::stderr(),
+        LogTarget::Stdout => log_queue::UnlockedStream::stdout(),
     };
     let (writer, guard) = log_queue::QueueWriter::start(stream, format_line);
     let logger = Logger::with(specification(level))
