Log and count each second how requests ended and where slots went

Two lines a second and route: 'use of the worker' (offered, started, refused for the link or otherwise, served, slot time, beside the load of the queue) and 'ends of callers' requests' (in time, late, refused, failed, left, with the time to the start of the response and that of sending it), and two metrics.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -14,6 +14,7 @@
 
 use crate::call_demand;
 use crate::room;
+use crate::route_usage;
 use crate::warm_up;
 use crate::worker_speed;
 
@@ -190,6 +191,8 @@
     speed: worker_speed::WorkerSpeed,
     /// Whether slots are reserved for calls and refused requests get shares of the room.
     shares_room: bool,
+    /// Use of the worker by route.
+    usage: route_usage::RouteRecord<route_usage::RouteUsage>,
 }
 
 impl AdmissionQueue {
@@ -210,6 +213,7 @@
             call_demand: call_demand::CallDemand::default(),
             speed: worker_speed::WorkerSpeed::default(),
             shares_room: true,
+            usage: route_usage::RouteRecord::default(),
         }
     }
 
@@ -260,6 +264,21 @@
         now: time::Instant,
         key: AdmissionKey,
         request: AdmissionRequest,
+    ) -> AdmissionDecision {
+        let route = Arc::clone(&request.route);
+        self.usage.route(&route).offered += 1;
+        let decision = self.decide(now, key, request);
+        if let AdmissionDecision::Refuse(refusal) = &decision {
+            self.count_refusal(&route, refusal.reason);
+        }
+        decision
+    }
+
+    fn decide(
+        &mut self,
+        now: time::Instant,
+        key: AdmissionKey,
+        request: AdmissionRequest,
     ) -> AdmissionDecision {
         self.recover_limit(now);
         if request.is_call {
@@ -381,6 +400,7 @@
         if let Some(limiter) = &mut self.warm_up {
             limiter.reserve();
         }
+        self.usage.route(&request.route).started += 1;
         let (route, is_call) = (Arc::clone(&request.route), request.is_call);
         let running = RunningRequest { route, since: now, concurrency, is_reserved, is_call };
         self.running.insert(key, running);
@@ -395,8 +415,10 @@
     ) -> Vec<AdmissionAction> {
         self.release_reservation(key);
         if let Some(ended) = self.running.remove(&key) {
+            self.count_slot_time(now, &ended);
             match outcome {
                 FinishOutcome::Served(time) => {
+                    self.usage.route(&ended.route).served += 1;
                     self.record_concurrency(now, ended.concurrency);
                     self.record_service_time(ended.route, time);
                 }
@@ -420,8 +442,9 @@
     /// Removes a request whose caller has left and returns the queued requests that may run now.
     pub fn cancel(&mut self, now: time::Instant, key: AdmissionKey) -> Vec<AdmissionAction> {
         self.release_reservation(key);
-        if self.running.remove(&key).is_none() {
-            self.queue.retain(|(_, queued), _| *queued != key);
+        match self.running.remove(&key) {
+            Some(ended) => self.count_slot_time(now, &ended),
+            None => self.queue.retain(|(_, queued), _| *queued != key),
         }
         self.start_queued(now)
     }
@@ -433,7 +456,9 @@
         let mut actions = Vec::new();
         for key in self.late_requests(now) {
             let Some(request) = self.queue.remove(&key) else { continue };
-            actions.push(AdmissionAction::Refuse(key.1, self.refusal(now, &request)));
+            let refusal = self.refusal(now, &request);
+            self.count_refusal(&request.route, refusal.reason);
+            actions.push(AdmissionAction::Refuse(key.1, refusal));
         }
         actions.append(&mut self.start_queued(now));
         actions
@@ -466,6 +491,26 @@
         actions
     }
 
+    fn count_refusal(&mut self, route: &Arc<str>, reason: RefusalReason) {
+        let usage = self.usage.route(route);
+        match reason {
+            RefusalReason::Link => usage.refused_link += 1,
+            RefusalReason::Slots | RefusalReason::WarmUp | RefusalReason::Calls => {
+                usage.refused_other += 1;
+            }
+        }
+    }
+
+    fn count_slot_time(&mut self, now: time::Instant, ended: &RunningRequest) {
+        let usage = self.usage.route(&ended.route);
+        usage.slot_time = usage.slot_time + now.since(ended.since);
+    }
+
+    /// Returns the use of the worker by route since the last call.
+    pub fn take_usage(&mut self) -> BTreeMap<Arc<str>, route_usage::RouteUsage> {
+        self.usage.take()
+    }
+
     /// Returns the routes of the requests that run or wait.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<str>> {
         let running = self.running.values().map(|running| &running.route);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod restoration;
 pub mod room;
 pub mod route;
+pub mod route_usage;
 pub mod selection;
 pub mod warm_up;
 pub mod worker_report;
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -6,6 +6,7 @@
 use cornelridge_fleet::config;
 use cornelridge_fleet::link;
 use cornelridge_fleet::room;
+use cornelridge_fleet::route_usage;
 use cornelridge_model::time;
 use cornelridge_policy::quarantine;
 use cornelridge_wire::headers;
@@ -28,6 +29,7 @@
 use crate::response;
 use crate::segments;
 use crate::shutdown;
+use crate::usage_watch;
 use crate::view;
 use crate::view::lock;
 
@@ -48,6 +50,8 @@
     pub(crate) pacer: Arc<pacing::ResponsePacer>,
     /// Times at which callers were told to return.
     pub(crate) return_times: Mutex<room::ReturnTimes>,
+    /// How the requests of callers ended.
+    pub(crate) ends: usage_watch::SharedEnds,
 }
 
 impl CallerIngress {
@@ -60,8 +64,9 @@
         let arrived = clock::now();
         let in_flight = self.in_flight.enter();
         let id: Arc<str> = header_text(http.headers(), &self.format.headers().request_id).into();
+        let ends = Arc::clone(&self.ends);
         let mut guard =
-            AbandonGuard { request: id, route: Arc::from(""), arrived, is_answered: false };
+            AbandonGuard { request: id, route: Arc::from(""), arrived, is_answered: false, ends };
         let (mut target, mut deadline) = (time::Instant(u64::MAX), time::Instant(u64::MAX));
         let result = match self.read_request(arrived, memory, http, &mut guard.route).await {
             Ok((mut request, max_attempts)) => {
@@ -95,12 +100,26 @@
                         slots = response.load.slots; "response misses its target"
                     );
                 }
+                let recorder = EndRecorder {
+                    ends: Arc::clone(&self.ends),
+                    route: Arc::clone(route),
+                    arrived,
+                    started: now,
+                    target,
+                    is_success: !response.status.is_server_error(),
+                    is_complete: false,
+                };
                 let response = self.pace(response, route, target, deadline);
-                build_response(response, in_flight, memory)
+                build_response(response, recorder, in_flight, memory)
             }
             Err(failure) => {
                 meter::count_response(route, failure.status(), time);
                 meter::count_failure(route, &failure);
+                let end = match failure.state {
+                    RunState::NotRun => route_usage::RequestEnd::Refused,
+                    RunState::Unknown => route_usage::RequestEnd::Failed,
+                };
+                record_end(&self.ends, route, end, time, time::Duration::ZERO);
                 log::info!(
                     request:% = id, route:% = route, cause:% = failure.cause,
                     state:? = failure.state, status = failure.status().as_u16(), time_us = time.0,
@@ -283,6 +302,44 @@
     route: Arc<str>,
     arrived: time::Instant,
     is_answered: bool,
+    ends: usage_watch::SharedEnds,
+}
+
+/// Records the end of a request that got a response, when dropped.
+struct EndRecorder {
+    ends: usage_watch::SharedEnds,
+    route: Arc<str>,
+    arrived: time::Instant,
+    /// When the response began.
+    started: time::Instant,
+    target: time::Instant,
+    is_success: bool,
+    is_complete: bool,
+}
+
+impl Drop for EndRecorder {
+    fn drop(&mut self) {
+        let now = clock::now();
+        let end = match (self.is_success, self.is_complete) {
+            (false, _) => route_usage::RequestEnd::Failed,
+            (true, false) => route_usage::RequestEnd::Left,
+            (true, true) if now <= self.target => route_usage::RequestEnd::InTime,
+            (true, true) => route_usage::RequestEnd::Late,
+        };
+        let waiting = self.started.since(self.arrived);
+        record_end(&self.ends, &self.route, end, waiting, now.since(self.started));
+    }
+}
+
+fn record_end(
+    ends: &usage_watch::SharedEnds,
+    route: &Arc<str>,
+    end: route_usage::RequestEnd,
+    waiting: time::Duration,
+    sending: time::Duration,
+) {
+    meter::count_request_end(route, end);
+    lock(ends).route(route).record(end, waiting, sending);
 }
 
 impl Drop for AbandonGuard {
@@ -291,6 +348,8 @@
             return;
         }
         meter::count_caller_left(&self.route);
+        let (end, waiting) = (route_usage::RequestEnd::Left, clock::now().since(self.arrived));
+        record_end(&self.ends, &self.route, end, waiting, time::Duration::ZERO);
         log::info!(
             request:% = self.request, route:% = self.route,
             time_us = clock::now().since(self.arrived).0; "the caller left before its response"
@@ -368,14 +427,18 @@
 
 fn build_response(
     paced: PacedResponse,
+    mut recorder: EndRecorder,
     in_flight: in_flight::InFlightGuard,
     memory: &memory::MemoryHolder,
 ) -> Response<http_server::ServerBody> {
     let PacedResponse { response, pacing } = paced;
     let response::WorkerResponse { status, headers, body, .. } = response;
     let body = match body.is_complete() && !pacing.is_large() {
-        true => http_server::segmented_body(body.into_buffered()),
-        false => stream_body(body, pacing, in_flight, memory.clone()),
+        true => {
+            recorder.is_complete = true;
+            http_server::segmented_body(body.into_buffered())
+        }
+        false => stream_body(body, pacing, recorder, in_flight, memory.clone()),
     };
     let mut response = Response::new(body);
     *response.status_mut() = status;
@@ -388,11 +451,13 @@
 fn stream_body(
     body: response::ResponseBody,
     pacing: pacing::ResponsePacing,
+    recorder: EndRecorder,
     in_flight: in_flight::InFlightGuard,
     memory: memory::MemoryHolder,
 ) -> http_server::ServerBody {
-    let frames = stream::unfold(Some((body, pacing, in_flight, memory)), |state| async {
-        let (mut body, mut pacing, in_flight, memory) = state?;
+    let state = Some((body, pacing, recorder, in_flight, memory));
+    let frames = stream::unfold(state, |state| async {
+        let (mut body, mut pacing, mut recorder, in_flight, memory) = state?;
         // The caller isn't expected to make progress until data is available and released.
         let running = memory.run();
         let bytes = match pacing.is_large() {
@@ -403,9 +468,13 @@
             Ok(Some(data)) => {
                 pacing.wait_for_release(data.len()).await;
                 drop(running);
-                Some((Ok(body::Frame::data(data)), Some((body, pacing, in_flight, memory))))
+                let state = Some((body, pacing, recorder, in_flight, memory));
+                Some((Ok(body::Frame::data(data)), state))
+            }
+            Ok(None) => {
+                recorder.is_complete = true;
+                None
             }
-            Ok(None) => None,
             Err(error) => {
                 log::info!(error:% = error; "response to a caller was cut off");
                 Some((Err(error), None))
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -46,5 +46,6 @@
 mod session;
 mod shutdown;
 mod suspects;
+mod usage_watch;
 mod view;
 mod worker;
--- a/crates/sidecar/src/meter.rs
+++ b/crates/sidecar/src/meter.rs
@@ -4,6 +4,7 @@
 
 use cornelridge_fleet::admission;
 use cornelridge_fleet::memory_budget;
+use cornelridge_fleet::route_usage;
 use cornelridge_fleet::warm_up;
 use cornelridge_model::time;
 use http::StatusCode;
@@ -171,6 +172,23 @@
     metrics::counter!(WORKER_ENDS).increment(1);
 }
 
+/// Time for which requests held slots of the worker; label `route`.
+pub(crate) const SLOT_MILLISECONDS: &str = "cornelridge_slot_milliseconds_total";
+/// Requests of callers by how they ended; labels `route` and `end`, which is `in-time`, `late`,
+/// `refused`, `failed` or `left`.
+pub(crate) const REQUEST_ENDS: &str = "cornelridge_request_ends_total";
+
+/// Adds time for which requests held slots of the worker.
+pub(crate) fn add_slot_time(route: &Arc<str>, time: time::Duration) {
+    metrics::counter!(SLOT_MILLISECONDS, "route" => Arc::clone(route)).increment(time.as_millis());
+}
+
+/// Counts the end of a caller's request.
+pub(crate) fn count_request_end(route: &Arc<str>, end: route_usage::RequestEnd) {
+    let end = end.to_string();
+    metrics::counter!(REQUEST_ENDS, "route" => Arc::clone(route), "end" => end).increment(1);
+}
+
 /// Counts a refusal by the worker's node.
 pub(crate) fn count_refusal(route: &Arc<str>, reason: admission::RefusalReason) {
     let reason = reason.to_string();
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -42,6 +42,7 @@
 use crate::settings;
 use crate::shutdown;
 use crate::suspects;
+use crate::usage_watch;
 use crate::view;
 use crate::worker;
 
@@ -361,6 +362,8 @@
             candidate_sets: Mutex::default(),
             zone_traffic: settings.economizes_zones.then(Mutex::default),
         });
+        let ends = usage_watch::SharedEnds::default();
+        smol::spawn(usage_watch::watch(Arc::clone(local_worker), Arc::clone(&ends))).detach();
         let ingress = Arc::new(ingress::CallerIngress {
             service: Arc::clone(&settings.service),
             view: Arc::clone(view),
@@ -370,6 +373,7 @@
             shutdown_deadline: self.shutdown_deadline.clone(),
             pacer: Arc::clone(&local_worker.pacer),
             return_times: Mutex::default(),
+            ends,
         });
         smol::spawn(async move {
             loop {
--- a/crates/sidecar/src/worker.rs
+++ b/crates/sidecar/src/worker.rs
@@ -17,6 +17,7 @@
 use cornelridge_fleet::member;
 use cornelridge_fleet::rates;
 use cornelridge_fleet::registration;
+use cornelridge_fleet::route_usage;
 use cornelridge_fleet::worker_speed;
 use cornelridge_model::time;
 use cornelridge_policy::quarantine;
@@ -202,6 +203,11 @@
         admission::QueueLoad { sending_time: sending, ..load }
     }
 
+    /// Returns the use of the worker by route since the last call.
+    pub(crate) fn take_usage(&self) -> BTreeMap<Arc<str>, route_usage::RouteUsage> {
+        lock(&self.queue).take_usage()
+    }
+
     /// Returns the number of requests refused because of the link since the start.
     pub(crate) fn link_refusals(&self) -> u64 {
         self.link_refusals.load(Ordering::Relaxed)
