Keep members in use whose entry has lapsed while they answer

Cause: routing took contact with the store for contact with a node. The lease of an entry ends 2 s after its last renewal, and a node without an entry was no candidate and no holder for anybody, although connections to it were open and its worker was sound. Class of fault: a sign for one thing (who may grant keys) that is used for another (who can be reached).

Ruled out: a cut between nodes (no connection to any of the 31 fell silent), workers that ended.

Change: a serving member whose entry ends is kept as lapsed. Each node probes the lapsed members to which it has a connection every 250 ms; those that have answered within 0.9 s stay candidates for requests that any worker may run and holders of their keys. Entries still decide on takeovers, plans and feeds; the node beside the worker checks each request against its own worker and grants, as before. Lost nodes answer no probe.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod era;
 pub mod evacuation;
 pub mod grant;
+pub mod lapse;
 pub mod ledger;
 pub mod link;
 pub mod member;
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -11,6 +11,7 @@
 
 use crate::departure;
 use crate::era;
+use crate::lapse;
 
 /// Time without an entry after which the record of a host is removed: longer than a call to the
 /// store or a report may be late. A host that returns later writes its record again.
@@ -157,7 +158,9 @@
     records: BTreeMap<Arc<str>, (HostRecord, u64)>,
     /// Host records that the store has lost with an earlier era, and since when.
     lost_records: BTreeMap<Arc<str>, (HostRecord, time::Instant)>,
-    /// Number of changes of the members.
+    /// Serving members whose entry has ended, and which may still answer.
+    lapsed: lapse::LapsedEntries<MemberEntry>,
+    /// Number of changes of the members and of the ended entries.
     version: u64,
 }
 
@@ -183,6 +186,7 @@
             return;
         }
         self.missing.remove(&name);
+        self.lapsed.remove(&name);
         self.version += 1;
         self.members.insert(name, KnownMember { entry: Arc::new(entry), revision });
     }
@@ -191,12 +195,45 @@
     /// newer revision is known.
     pub fn remove(&mut self, now: time::Instant, node: &str, revision: u64) {
         let is_older = self.members.get(node).is_some_and(|known| known.revision < revision);
-        if is_older && let Some((name, _)) = self.members.remove_entry(node) {
+        if is_older && let Some((name, known)) = self.members.remove_entry(node) {
+            self.record_missing(now, name, known);
+        }
+    }
+
+    /// Records that the entry of a node has ended. A member that was serving may still answer.
+    fn record_missing(&mut self, now: time::Instant, node: Arc<str>, known: KnownMember) {
+        self.version += 1;
+        if known.entry.state == MemberState::Serving {
+            self.lapsed.insert(now, Arc::clone(&node), known.entry);
+        }
+        self.missing.insert(node, now);
+    }
+
+    /// Returns the members whose entry has ended.
+    pub fn lapsed(&self) -> &lapse::LapsedEntries<MemberEntry> {
+        &self.lapsed
+    }
+
+    /// Records the number of frames received from a node whose entry has ended, or `None` without a
+    /// connection to it. Returns whether this changes whether the node counts as reachable.
+    pub fn record_frames(&mut self, now: time::Instant, node: &str, frames: Option<u64>) -> bool {
+        self.lapsed.record_frames(now, node, frames)
+    }
+
+    /// Forgets members whose entry has ended and which don't answer.
+    pub fn remove_lost(&mut self, now: time::Instant) {
+        if self.lapsed.remove_lost(now) {
             self.version += 1;
-            self.missing.insert(name, now);
         }
     }
 
+    /// Returns the entry of a node that may be asked to serve requests: that of a member, or one
+    /// that has ended while the node still answers.
+    pub fn reachable(&self, now: time::Instant, node: &str) -> Option<&Arc<MemberEntry>> {
+        let member = self.members.get(node).map(|known| &known.entry);
+        member.or_else(|| self.lapsed.reachable(now, node))
+    }
+
     /// Keeps the members for which `keep` returns `true` and those newer than `revision`, after a
     /// complete read at that revision. What happened before the read isn't known, so all missing
     /// nodes count as missing from `now` on.
@@ -206,9 +243,9 @@
         };
         let gone: Vec<Arc<str>> = self.members.iter().filter_map(gone_name).collect();
         for name in gone {
-            self.version += 1;
-            self.members.remove(&name);
-            self.missing.insert(name, now);
+            if let Some(known) = self.members.remove(&name) {
+                self.record_missing(now, name, known);
+            }
         }
         self.missing.values_mut().for_each(|since| *since = now);
     }
@@ -365,6 +402,13 @@
         self.iter().find(|entry| entry.worker.as_ref().is_some_and(|known| known.name == *worker))
     }
 
+    /// Returns whether a member, or a node whose entry has ended, is beside `worker`.
+    pub fn knows_worker(&self, worker: &WorkerName) -> bool {
+        let lapsed = self.lapsed.iter().map(|(_, entry)| entry);
+        let mut workers = self.iter().chain(lapsed).filter_map(|entry| entry.worker.as_ref());
+        workers.any(|known| known.name == *worker)
+    }
+
     /// Returns the members whose worker runs `service`, with that worker.
     pub fn by_service<'a>(
         &'a self,
--- a/crates/fleet/src/selection.rs
+++ b/crates/fleet/src/selection.rs
@@ -76,6 +76,8 @@
     versions: (u64, u64),
     all: Arc<[WorkerCandidate]>,
     preferred: Arc<[WorkerCandidate]>,
+    /// Workers beside nodes whose entry has ended, which may still answer.
+    lapsed: Arc<[WorkerCandidate]>,
 }
 
 impl CandidateSet {
@@ -88,19 +90,25 @@
         node: &str,
         zone: &str,
     ) -> CandidateSet {
-        let ready = directory.by_service(service).filter(|(entry, worker)| {
-            entry.state == member::MemberState::Serving
+        let candidate = |entry: &member::MemberEntry, worker: &member::MemberWorker| {
+            let is_candidate = entry.state == member::MemberState::Serving
                 && worker.state == member::WorkerState::Ready
-                && !evacuations.contains(&entry.zone)
-        });
-        let all: Vec<WorkerCandidate> = ready
-            .map(|(entry, worker)| WorkerCandidate {
+                && !evacuations.contains(&entry.zone);
+            is_candidate.then(|| WorkerCandidate {
                 worker: worker.name.clone(),
                 node: Arc::clone(&entry.node),
                 is_same_zone: *entry.zone == *zone,
                 slots: worker.slots,
             })
-            .collect();
+        };
+        let members = directory.by_service(service);
+        let all: Vec<WorkerCandidate> =
+            members.filter_map(|(entry, worker)| candidate(entry, worker)).collect();
+        let lapsed = directory.lapsed().iter().filter_map(|(_, entry)| {
+            let worker = entry.worker.as_ref().filter(|worker| *worker.service == *service)?;
+            candidate(entry, worker)
+        });
+        let lapsed = lapsed.collect();
         let seed = xxh3::xxh3_64(node.as_bytes());
         let mut order = all.clone();
         order.sort_by_cached_key(|known| xxh3::xxh3_64_with_seed(known.worker.0.as_bytes(), seed));
@@ -110,7 +118,7 @@
         let far_count = MAX_PREFERRED.saturating_sub(preferred.len());
         preferred.extend(far.into_iter().take(far_count));
         let versions = (directory.version(), evacuations.version());
-        CandidateSet { versions, all: all.into(), preferred: preferred.into() }
+        CandidateSet { versions, all: all.into(), preferred: preferred.into(), lapsed }
     }
 
     /// Returns whether neither the members nor the evacuated zones have changed since.
@@ -123,14 +131,37 @@
     }
 
     /// Returns all candidates.
-    pub fn all(&self) -> Arc<[WorkerCandidate]> {
-        Arc::clone(&self.all)
+    pub fn all(
+        &self,
+        now: time::Instant,
+        directory: &member::MemberDirectory,
+    ) -> Arc<[WorkerCandidate]> {
+        self.with_lapsed(now, directory, &self.all)
     }
 
     /// Returns the candidates for first attempts. Of many, a node uses a few that only the name of
     /// the node and those of the workers determine, so that it keeps few connections.
-    pub fn preferred(&self) -> Arc<[WorkerCandidate]> {
-        Arc::clone(&self.preferred)
+    pub fn preferred(
+        &self,
+        now: time::Instant,
+        directory: &member::MemberDirectory,
+    ) -> Arc<[WorkerCandidate]> {
+        self.with_lapsed(now, directory, &self.preferred)
+    }
+
+    /// Adds the workers beside nodes whose entry has ended and which still answer.
+    fn with_lapsed(
+        &self,
+        now: time::Instant,
+        directory: &member::MemberDirectory,
+        members: &Arc<[WorkerCandidate]>,
+    ) -> Arc<[WorkerCandidate]> {
+        if self.lapsed.is_empty() {
+            return Arc::clone(members);
+        }
+        let lapsed = self.lapsed.iter();
+        let reachable = lapsed.filter(|known| directory.reachable(now, &known.node).is_some());
+        members.iter().chain(reachable).cloned().collect()
     }
 }
 
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -277,13 +277,13 @@
         let Some(row) = self.view.row_of(&request.service, key) else { return Ok(None) };
         let Some(owner) = row.owner else { return Ok(None) };
         let directory = self.view.directory();
-        let Some(member) = directory.get(&owner.node) else {
+        let Some(member) = directory.reachable(clock::now(), &owner.node) else {
             return Err(RequestFailure::not_run(FailureCause::NodeUnreachable));
         };
         if lock(&self.selector).is_paused(clock::now(), &owner.worker) {
             return Err(RequestFailure::not_run(FailureCause::NodeUnreachable));
         }
-        let member = Arc::clone(&member.entry);
+        let member = Arc::clone(member);
         if self.view.evacuations().refuses_local(clock::now(), &member.zone, true) {
             return match row.successor {
                 Some(_) => Ok(None),
@@ -303,11 +303,17 @@
     ) -> Arc<[selection::WorkerCandidate]> {
         let set = self.candidate_set(&request.service);
         if history.tried.is_empty() && history.suspect_crash.is_none() {
-            return set.preferred();
+            return set.preferred(clock::now(), &self.view.directory());
         }
         let is_left =
             |candidate: &&selection::WorkerCandidate| !history.tried.contains(&candidate.worker);
-        set.all().iter().filter(is_left).cloned().collect()
+        self.all_candidates(&request.service).iter().filter(is_left).cloned().collect()
+    }
+
+    /// Returns all workers of a service that can be asked.
+    fn all_candidates(&self, service: &Arc<str>) -> Arc<[selection::WorkerCandidate]> {
+        let set = self.candidate_set(service);
+        set.all(clock::now(), &self.view.directory())
     }
 
     /// Returns the workers of a service, which are collected again when the members or the
@@ -339,8 +345,9 @@
         };
         let none = || RequestFailure::not_run(self.no_worker_cause(&request.service));
         let selected = selected.ok_or_else(none)?;
-        let member =
-            self.view.directory().get(&selected.node).map(|known| Arc::clone(&known.entry));
+        let directory = self.view.directory();
+        let member = directory.reachable(clock::now(), &selected.node).cloned();
+        drop(directory);
         let worker =
             request::SelectedWorker { name: selected.worker, suspect_crash: history.suspect_crash };
         Ok(AttemptTarget { worker, member: member.ok_or_else(none)? })
@@ -439,7 +446,7 @@
         lock(&self.links.pins).remove_unused(now);
         let mut directory = self.view.directory();
         directory.remove_gone(now);
-        lock(&self.selector).retain(|worker| directory.by_worker(worker).is_some());
+        lock(&self.selector).retain(|worker| directory.knows_worker(worker));
         drop(directory);
         lock(&self.candidate_sets).clear();
         self.refresh_zone_traffic();
--- a/crates/sidecar/src/forward/opening.rs
+++ b/crates/sidecar/src/forward/opening.rs
@@ -60,7 +60,7 @@
             return Ok(selected);
         }
         // Of many workers, the preferred ones may be closed and others open.
-        let all = self.candidate_set(&request.service).all();
+        let all = self.all_candidates(&request.service);
         if history.tried.is_empty()
             && let Some(other) = self.select_in_zones(request, &all)
         {
@@ -85,7 +85,7 @@
         {
             return failure;
         }
-        let (now, all) = (clock::now(), self.candidate_set(&request.service).all());
+        let (now, all) = (clock::now(), self.all_candidates(&request.service));
         let selector = lock(&self.selector);
         match selector.first_opening(now, &all, needs.priority, needs.latest_start) {
             Some(opening) => {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -32,6 +32,7 @@
 mod http_server;
 mod in_flight;
 mod ingress;
+mod lapse_watch;
 mod link_watch;
 mod loads;
 mod memory;
--- a/crates/sidecar/src/meter.rs
+++ b/crates/sidecar/src/meter.rs
@@ -81,6 +81,17 @@
 /// `suspected`, `refused`, `cleared` or `forgotten`.
 pub(crate) const SUSPECT_EVENTS: &str = "cornelridge_suspects_total";
 
+/// Members whose entry in the store has ended lately; label `reachable`, which is `true` for those
+/// that still answer this node.
+pub(crate) const LAPSED_MEMBERS: &str = "cornelridge_lapsed_members";
+
+/// Records the members whose entry has ended, and how many of them still answer.
+pub(crate) fn record_lapsed_members(count: usize, reachable: usize) {
+    metrics::gauge!(LAPSED_MEMBERS, "reachable" => "true").set(reachable as f64);
+    let lost = count.saturating_sub(reachable);
+    metrics::gauge!(LAPSED_MEMBERS, "reachable" => "false").set(lost as f64);
+}
+
 /// Zones that this node knows to be evacuated.
 pub(crate) const EVACUATED_ZONES: &str = "cornelridge_evacuated_zones";
 /// Starts and ends of evacuations that this node has learned of; label `event`, which is `started`
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -31,6 +31,7 @@
 use crate::http_server;
 use crate::in_flight;
 use crate::ingress;
+use crate::lapse_watch;
 use crate::link_watch;
 use crate::loads;
 use crate::memory;
@@ -250,6 +251,8 @@
             format: Arc::clone(&adapter.format),
         };
         smol::spawn(checker.run()).detach();
+        let node = Arc::clone(&self.settings.node);
+        smol::spawn(lapse_watch::watch(node, Arc::clone(view), self.endpoint.clone())).detach();
         smol::spawn(link_watch::watch(Arc::clone(local_worker), self.endpoint.clone())).detach();
         smol::spawn(Arc::clone(&local_worker.pacer).run()).detach();
         let handler = Arc::new(reports::ReportHandler {
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -196,10 +196,13 @@
         self.changed.listen()
     }
 
-    /// Accepts exactly the certificates of the current members.
+    /// Accepts exactly the certificates of the members and of nodes whose entry has just ended.
     pub(crate) fn refresh_pins(&self) {
-        let pins: Vec<Arc<str>> =
-            self.directory().iter().map(|entry| Arc::clone(&entry.pin)).collect();
+        let directory = self.directory();
+        let lapsed = directory.lapsed().iter().map(|(_, entry)| entry);
+        let pins = directory.iter().chain(lapsed).map(|entry| Arc::clone(&entry.pin));
+        let pins: Vec<Arc<str>> = pins.collect();
+        drop(directory);
         self.pins.replace(pins);
     }
 
--- a/crates/sidecar/tests/nodes/main.rs
+++ b/crates/sidecar/tests/nodes/main.rs
@@ -4,6 +4,7 @@
 
 mod cold;
 mod crashing;
+mod cut_off;
 mod departing;
 mod endless;
 mod evacuating;
--- a/crates/sidecar/tests/nodes/standin/mod.rs
+++ b/crates/sidecar/tests/nodes/standin/mod.rs
@@ -1,5 +1,6 @@
 //! A deployment in one process: real nodes, a store in memory and workers on loopback.
 
+pub(crate) mod cut_store;
 pub(crate) mod relay;
 pub(crate) mod script;
 pub(crate) mod store;
@@ -234,6 +235,8 @@
 pub(crate) struct Host {
     pub(crate) node: node::SidecarNode,
     pub(crate) worker: worker::StandInWorker,
+    /// The store as the node reaches it.
+    pub(crate) store: Arc<cut_store::CutStore>,
 }
 
 /// A deployment of nodes that share a store.
@@ -331,14 +334,15 @@
             max_descriptors: None,
         };
         adjust(&mut settings);
+        let store = Arc::new(cut_store::CutStore::new(&self.store));
         let adapter = adapter::PlatformAdapter {
-            store: Arc::clone(&self.store) as _,
+            store: Arc::clone(&store) as _,
             format: Arc::clone(&self.format) as _,
             metrics: String::new,
         };
         let node = node::SidecarNode::start(settings, adapter).await.unwrap();
         worker.report_to(node.addresses.reports);
-        self.hosts.push(Host { node, worker });
+        self.hosts.push(Host { node, worker, store });
     }
 
     /// Limits the requests to cold workers of `name`, from the next version of the configuration.
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -126,6 +126,11 @@
         ConnectionLookup::Connect
     }
 
+    /// Returns the preferred usable connection to `peer`.
+    pub(crate) fn connection(&self, peer: net::SocketAddr) -> Option<Arc<PeerConnection>> {
+        self.entries.get(&peer)?.connection().map(Arc::clone)
+    }
+
     /// Queues a datagram until the running attempt ends.
     pub(crate) fn queue_datagram(&mut self, peer: net::SocketAddr, datagram: Bytes) {
         let attempt = self.entries.get_mut(&peer).map(|entry| &mut entry.attempt);
--- a/crates/wire/src/transport.rs
+++ b/crates/wire/src/transport.rs
@@ -289,6 +289,14 @@
         Ok((writer, reader))
     }
 
+    /// Asks a peer for a sign of life on its connection; returns the number of those that have
+    /// arrived on it, or `None` without a usable connection.
+    pub fn probe(&self, peer: net::SocketAddr) -> Option<u64> {
+        let connection = self.shared.peers().connection(peer)?;
+        connection.ping();
+        Some(connection.received_frames())
+    }
+
     /// Removes a peer. Its connections close when their last stream ends.
     pub fn remove_peer(&self, peer: net::SocketAddr) {
         self.shared.peers().remove_peer(peer);
