--- a/crates/fleet/src/selection.rs
+++ b/crates/fleet/src/selection.rs
@@ -130,34 +130,26 @@
         self.versions == (directory.version(), evacuations.version())
     }
 
-    /// Returns all candidates.
-    pub fn all(
-        &self,
-        now: time::Instant,
-        directory: &member::MemberDirectory,
-    ) -> Arc<[WorkerCandidate]> {
-        self.with_lapsed(now, directory, &self.all)
+    /// Returns all candidates beside members.
+    pub fn all(&self) -> Arc<[WorkerCandidate]> {
+        Arc::clone(&self.all)
     }
 
     /// Returns the candidates for first attempts. Of many, a node uses a few that only the name of
     /// the node and those of the workers determine, so that it keeps few connections.
-    pub fn preferred(
-        &self,
-        now: time::Instant,
-        directory: &member::MemberDirectory,
-    ) -> Arc<[WorkerCandidate]> {
-        self.with_lapsed(now, directory, &self.preferred)
+    pub fn preferred(&self) -> Arc<[WorkerCandidate]> {
+        Arc::clone(&self.preferred)
     }
 
     /// Adds the workers beside nodes whose entry has ended and which still answer.
-    fn with_lapsed(
+    pub fn with_lapsed(
         &self,
         now: time::Instant,
         directory: &member::MemberDirectory,
-        members: &Arc<[WorkerCandidate]>,
+        members: Arc<[WorkerCandidate]>,
     ) -> Arc<[WorkerCandidate]> {
         if self.lapsed.is_empty() {
-            return Arc::clone(members);
+            return members;
         }
         let lapsed = self.lapsed.iter();
         let reachable = lapsed.filter(|known| directory.reachable(now, &known.node).is_some());
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -303,7 +303,7 @@
     ) -> Arc<[selection::WorkerCandidate]> {
         let set = self.candidate_set(&request.service);
         if history.tried.is_empty() && history.suspect_crash.is_none() {
-            return set.preferred(clock::now(), &self.view.directory());
+            return set.with_lapsed(clock::now(), &self.view.directory(), set.preferred());
         }
         let is_left =
             |candidate: &&selection::WorkerCandidate| !history.tried.contains(&candidate.worker);
@@ -313,7 +313,7 @@
     /// Returns all workers of a service that can be asked.
     fn all_candidates(&self, service: &Arc<str>) -> Arc<[selection::WorkerCandidate]> {
         let set = self.candidate_set(service);
-        set.all(clock::now(), &self.view.directory())
+        set.with_lapsed(clock::now(), &self.view.directory(), set.all())
     }
 
     /// Returns the workers of a service, which are collected again when the members or the
