Find another feed after a node is cut off from the store and from its source

Cause: a follower that lost its source asked only the three members that were first by its own list, of which those that had left were still part, and waited 4 s for the store between two tries. A first member that was cut off itself followed nobody.

Change: after a feed ends the next one is looked for at once, up to 12 members are asked in their order, and a first member whose registration is overdue follows others. Only members that watch the store and whose registration is fresh serve feeds, as before, so that no cycle can form.

--- a/crates/fleet/src/registration.rs
+++ b/crates/fleet/src/registration.rs
@@ -79,6 +79,11 @@
         self.renewed_at.is_some_and(|renewed| now.since(renewed) < span)
     }
 
+    /// Returns whether an entry that was written hasn't been renewed for `span`.
+    pub fn is_overdue(&self, now: time::Instant, span: time::Duration) -> bool {
+        self.renewed_at.is_some_and(|renewed| now.since(renewed) >= span)
+    }
+
     /// Returns how long a worker may still hold its keys by its own clock, which may run slow, or
     /// `None` before the ranges were read.
     pub fn remaining_hold(&self, now: time::Instant) -> Option<time::Duration> {
--- a/crates/sidecar/src/feed.rs
+++ b/crates/sidecar/src/feed.rs
@@ -2,7 +2,8 @@
 //!
 //! Each watch call of the store has a price and returns at each change, so that the number of calls
 //! would grow with the square of the number of nodes. Only the first members watch the store. The
-//! others follow one of them, and watch the store only while none can be followed. Items received
+//! others follow one of them, and watch the store only while none can be followed. So does a first
+//! member that is cut off from the store. Items received
 //! from another node aren't passed on. A feed contains the evacuated zones, always all of them, and
 //! the configuration, unless that is too long for a frame: it is announced then, and the followers
 //! read it from the store.
@@ -31,6 +32,11 @@
 /// Number of members that watch the store and feed the others. After the loss of one or two of them
 /// there is still a feed.
 const SOURCE_COUNT: usize = 3;
+/// Number of members that are asked for a feed. A node that was without news for a while asks by an
+/// old list, of which the first members may have left.
+const MAX_ASKED: usize = 12;
+/// Delay before another feed is looked for after one has ended.
+const RETRY_DELAY: time::Duration = time::Duration::from_millis(100);
 /// Number of serving members from which feeds are used. In smaller deployments all members watch
 /// the store, which costs less than the feeds.
 const MIN_MEMBERS: usize = 6;
@@ -268,11 +274,19 @@
     pub(crate) format: Arc<dyn adapter::FormatAdapter>,
     pub(crate) view: Arc<view::FleetView>,
     pub(crate) links: peers::PeerLinks,
+    pub(crate) local_worker: Arc<worker::LocalWorker>,
 }
 
 impl FeedReader {
-    /// Follows another node while possible; returns when the store has to be watched.
+    /// Follows other nodes while possible; returns when the store has to be watched.
     pub(crate) async fn follow(&self) {
+        while self.follow_any().await {
+            clock::sleep(RETRY_DELAY).await;
+        }
+    }
+
+    /// Follows the first node that serves a feed until it ends; returns whether there was one.
+    async fn follow_any(&self) -> bool {
         for source in self.sources() {
             let from = self.view.revision();
             let Some(reader) = self.links.open_feed(&source, from).await else { continue };
@@ -281,9 +295,10 @@
             self.view.is_operator_fed.store(false, Ordering::Relaxed);
             if frames > 0 {
                 log::info!(source:% = source.node, frames; "feed ended");
-                return;
+                return true;
             }
         }
+        false
     }
 
     /// Returns whether this node permanently watches the store.
@@ -294,15 +309,21 @@
     /// Returns the nodes to follow, in the order in which this node tries them; none if this node
     /// watches the store itself.
     fn sources(&self) -> Vec<Arc<member::MemberEntry>> {
-        let directory = self.view.directory();
-        let first: Vec<&Arc<member::MemberEntry>> = directory.serving().take(MIN_MEMBERS).collect();
-        let mut sources: Vec<Arc<member::MemberEntry>> =
-            first.iter().take(SOURCE_COUNT).map(|entry| Arc::clone(entry)).collect();
-        if first.len() < MIN_MEMBERS || sources.iter().any(|entry| entry.node == self.node) {
+        let first: Vec<Arc<member::MemberEntry>> =
+            self.view.directory().serving().take(MAX_ASKED).cloned().collect();
+        if first.len() < MIN_MEMBERS {
+            return Vec::new();
+        }
+        let is_source = first.iter().take(SOURCE_COUNT).any(|entry| entry.node == self.node);
+        if is_source && !self.local_worker.registration().is_overdue(clock::now(), MAX_RENEWAL_AGE)
+        {
             return Vec::new();
         }
+        let (mut sources, others) = (first[..SOURCE_COUNT].to_vec(), &first[SOURCE_COUNT..]);
         let start = xxh3::xxh3_64(self.node.as_bytes()) as usize % sources.len();
         sources.rotate_left(start);
+        sources.extend_from_slice(others);
+        sources.retain(|entry| entry.node != self.node);
         sources
     }
 
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -226,6 +226,7 @@
             format: Arc::clone(&adapter.format),
             view: Arc::clone(view),
             links: links.clone(),
+            local_worker: Arc::clone(local_worker),
         };
         smol::spawn(follow::follow_fleet(Arc::clone(store), Arc::clone(view), reader)).detach();
         let format = Arc::clone(&adapter.format);
--- a/crates/sidecar/tests/nodes/cut_off.rs
+++ b/crates/sidecar/tests/nodes/cut_off.rs
@@ -69,3 +69,34 @@
         }
     });
 }
+
+/// Guards against nodes without news: those that are cut off from the store together with all nodes
+/// that fed them know only an old list of members.
+#[test]
+fn nodes_that_are_cut_off_with_their_sources_find_other_feeds() {
+    block_on(async {
+        let deployment = Deployment::start(&["desk"; 8]).await;
+        deployment.configure(1);
+        deployment.wait_until_served("/v1/x", None).await;
+        wait_until("three nodes watch the store", || async { deployment.store.watch_count() <= 3 })
+            .await;
+        let cut_off = [0, 1, 2, 7];
+        cut_off.iter().for_each(|host| deployment.hosts[*host].store.set_cut(true));
+        for host in cut_off {
+            wait_until("the entry has ended", || async {
+                !is_registered(&deployment, &format!("node-{host}")).await
+            })
+            .await;
+        }
+        deployment.configure(2);
+        for host in cut_off {
+            let mut attempt = 0;
+            wait_until("the new configuration is in force", || {
+                attempt += 1;
+                let (id, deployment) = (format!("news-{host}-{attempt}"), &deployment);
+                async move { deployment.call(host, &id, "/v2/x", None).await.status.is_success() }
+            })
+            .await;
+        }
+    });
+}
