--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -468,6 +468,8 @@
             Ok(Some(data)) => {
                 pacing.wait_for_release(data.len()).await;
                 drop(running);
+                // The server doesn't ask for more than the stated length.
+                recorder.is_complete = body.is_finished();
                 let state = Some((body, pacing, recorder, in_flight, memory));
                 Some((Ok(body::Frame::data(data)), state))
             }
--- a/crates/sidecar/src/response.rs
+++ b/crates/sidecar/src/response.rs
@@ -93,6 +93,11 @@
         matches!(self.source, BodySource::Complete)
     }
 
+    /// Returns whether all data of a complete body has been taken.
+    pub(crate) fn is_finished(&self) -> bool {
+        self.is_complete() && self.buffered.is_empty()
+    }
+
     /// Buffers the body up to about `READ_AHEAD_BYTES`, as far as memory is available; a shorter
     /// body is complete afterwards.
     pub(crate) async fn read_ahead(
