Tell other nodes that a worker leaves its requests unanswered

Cause: each of 88 nodes learned of its failures by its own requests only, and forgot them within seconds. Class of fault: a fact about one worker that each user of it has to find out alone.

Ruled out: lost connections between nodes, a worker that had ended.

Change: the node beside the worker keeps the share of requests without an answer. While more than half break off, it passes on only one request in 200 ms of those that another worker could serve, and refuses the others as not run, so that they go elsewhere without using the retry budget; it states this with its load, and a node whose request fails there pauses the worker like one that can't be reached. Requests that no other worker can serve are passed on as before.

faulty::a_worker_that_answers_nothing_gets_no_requests_of_nodes_that_never_failed_there failed 3 of 3 times on (4 to 9 requests of nodes that had not failed there, 2 probes allowed) and passes 5 of 5 times now.

--- a/crates/fleet/src/admission/load.rs
+++ b/crates/fleet/src/admission/load.rs
@@ -23,10 +23,13 @@
     /// Expected time until the worker takes another request of the same priority, if its service
     /// limits the requests to cold workers.
     pub next_start: Option<time::Duration>,
+    /// Whether the worker leaves most requests unanswered.
+    pub is_failing: bool,
 }
 
 impl AdmissionQueue {
-    /// Returns the load for requests of `route`; the sending time and the next start are left out.
+    /// Returns the load for requests of `route`, without the sending time, the next start and
+    /// whether the worker is failing.
     pub fn load(&self, now: time::Instant, route: &str) -> QueueLoad {
         let (wait, _) = self.expected_wait(now, LAST_RANK);
         let expected_latency = wait + self.service_time(route);
@@ -38,6 +41,7 @@
             slowdown: self.slowdown(now, expected_latency),
             sending_time: time::Duration::ZERO,
             next_start: None,
+            is_failing: false,
         }
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! ```
 
 pub mod admission;
+pub mod answer_share;
 pub mod backoff;
 pub mod balance;
 pub mod budget;
--- a/crates/fleet/tests/lapse.rs
+++ b/crates/fleet/tests/lapse.rs
@@ -26,7 +26,7 @@
     assert!(!entries.record_frames(at(0), "node", Some(40)));
     assert_eq!(entries.reachable(at(0), "node"), None);
     assert!(entries.record_frames(at(250), "node", Some(41)));
-    assert_eq!(entries.reachable(at(250), "node").as_deref(), Some(&Arc::new(7)));
+    assert_eq!(entries.reachable(at(250), "node"), Some(&Arc::new(7)));
     assert!(!entries.record_frames(at(500), "node", Some(41)));
     assert!(entries.reachable(at(1_150), "node").is_some());
     assert_eq!(entries.reachable(at(1_151), "node"), None, "silent for too long");
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -97,13 +97,14 @@
         state: &send_state::SendState,
     ) -> Result<response::WorkerResponse, RequestFailure> {
         let arrived = clock::now();
-        let request::SelectedWorker { name: worker, suspect_crash } = worker;
+        let request::SelectedWorker { name: worker, suspect_crash, has_alternatives } = worker;
         if let Some(crash) = suspect_crash {
             self.view.suspects.merge("request", in_flight_notice(request, crash));
         }
         self.local_worker.check(&worker, request)?;
         self.check_evacuation(request)?;
-        if !self.local_worker.apply_warm_up_rule(&self.view) {
+        let is_avoided = has_alternatives && !self.local_worker.admits_probe();
+        if is_avoided || !self.local_worker.apply_warm_up_rule(&self.view) {
             return Err(RequestFailure::not_run(FailureCause::WorkerRefuses));
         }
         self.local_worker.check_calls(request)?;
@@ -283,6 +284,7 @@
                         age_us = clock::now().since(permit.started()).0;
                         "the worker closed the connection before its response"
                     );
+                    self.local_worker.record_broken(permit.started());
                     drop(permit);
                     return Err(self.disconnect_failure(request, worker).await);
                 }
@@ -401,6 +403,7 @@
             return Err(RequestFailure::unknown(FailureCause::WrongAnswer));
         }
         self.record_stated_load(&parts.headers);
+        self.local_worker.record_answered();
         let is_refusal = parts.headers.contains_key(&names.not_executed)
             || parts.status == StatusCode::MISDIRECTED_REQUEST;
         if is_refusal {
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -290,8 +290,11 @@
                 None => Err(RequestFailure::not_run(FailureCause::ZoneEvacuated)),
             };
         }
-        let worker =
-            request::SelectedWorker { name: owner.worker, suspect_crash: history.suspect_crash };
+        let worker = request::SelectedWorker {
+            name: owner.worker,
+            suspect_crash: history.suspect_crash,
+            has_alternatives: false,
+        };
         Ok(Some(AttemptTarget { worker, member }))
     }
 
@@ -348,8 +351,11 @@
         let directory = self.view.directory();
         let member = directory.reachable(clock::now(), &selected.node).cloned();
         drop(directory);
-        let worker =
-            request::SelectedWorker { name: selected.worker, suspect_crash: history.suspect_crash };
+        let worker = request::SelectedWorker {
+            name: selected.worker,
+            suspect_crash: history.suspect_crash,
+            has_alternatives: candidates.len() > 1 && history.suspect_crash.is_none(),
+        };
         Ok(AttemptTarget { worker, member: member.ok_or_else(none)? })
     }
 
@@ -435,7 +441,8 @@
             }
             selector.record_transit(now, worker, request.is_bulk, transit);
         }
-        selector.record_result(now, worker, worker_result(&result));
+        let is_failing = load.is_some_and(|load| load.is_failing);
+        selector.record_result(now, worker, worker_result(&result, is_failing));
         drop(selector);
         result
     }
@@ -477,8 +484,11 @@
     result.as_ref().is_err_and(|failure| failure.cause == FailureCause::ZoneEvacuated)
 }
 
+/// Returns what a result says of the worker. One that fails a request and leaves most others
+/// unanswered is avoided like one that can't be reached.
 fn worker_result(
     result: &Result<response::WorkerResponse, RequestFailure>,
+    is_failing: bool,
 ) -> selection::WorkerResult {
     let failure = match result {
         Ok(response) if response.status.is_server_error() => {
@@ -501,6 +511,7 @@
         | FailureCause::Suspect
         | FailureCause::CrashesWorkers => selection::WorkerResult::Refused,
         FailureCause::CallerLeft => selection::WorkerResult::Cancelled,
+        _ if is_failing => selection::WorkerResult::Unreachable,
         _ => selection::WorkerResult::Failed,
     }
 }
--- a/crates/sidecar/src/peers/load.rs
+++ b/crates/sidecar/src/peers/load.rs
@@ -17,6 +17,7 @@
             sending_time: time::Duration(load.sending_us),
             slowdown: time::Duration(load.slowdown_us),
             next_start: load.next_start_us.map(time::Duration),
+            is_failing: load.is_failing,
         }
     }
 
@@ -29,6 +30,7 @@
             sending_us: load.sending_time.0,
             slowdown_us: load.slowdown.0,
             next_start_us: load.next_start.map(|next| next.0),
+            is_failing: load.is_failing,
             config_version: self.view.config().map_or(0, |config| config.config.version),
         }
     }
--- a/crates/sidecar/src/request.rs
+++ b/crates/sidecar/src/request.rs
@@ -20,6 +20,8 @@
     pub name: member::WorkerName,
     /// The crash that the request may have caused, if this worker is designated to run the suspect.
     pub suspect_crash: Option<quarantine::CrashId>,
+    /// Whether another worker could serve the request.
+    pub has_alternatives: bool,
 }
 
 /// A request of a caller with its route.
@@ -113,6 +115,7 @@
             is_call: self.is_call,
             ended_worker: worker.suspect_crash.map_or(0, |crash| crash.node.0),
             is_early: self.is_early,
+            has_alternatives: worker.has_alternatives,
         }
     }
 
@@ -124,8 +127,9 @@
         memory: memory::MemoryHolder,
     ) -> Option<(FleetRequest, SelectedWorker)> {
         let name = member::WorkerName(wire.worker.into());
-        let worker =
-            SelectedWorker { name, suspect_crash: failure::crash_from_wire(wire.ended_worker) };
+        let suspect_crash = failure::crash_from_wire(wire.ended_worker);
+        let has_alternatives = wire.has_alternatives;
+        let worker = SelectedWorker { name, suspect_crash, has_alternatives };
         let key = match wire.key {
             Some(key) => Some(u16::try_from(key).ok()?),
             None => None,
--- a/crates/sidecar/src/worker.rs
+++ b/crates/sidecar/src/worker.rs
@@ -11,6 +11,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use cornelridge_fleet::admission;
+use cornelridge_fleet::answer_share;
 use cornelridge_fleet::call_load;
 use cornelridge_fleet::grant;
 use cornelridge_fleet::link;
@@ -80,6 +81,8 @@
     warm_up: warm_up::WarmUpControl,
     /// Paces large responses that leave this machine.
     pub(crate) pacer: Arc<pacing::ResponsePacer>,
+    /// Share of requests that the worker leaves unanswered.
+    answers: Mutex<answer_share::AnswerShare>,
     /// Number of requests that were refused because of the link.
     link_refusals: AtomicU64,
     rates: Mutex<rates::KeyRates>,
@@ -129,6 +132,7 @@
             drain: settings.drain,
             grants: Mutex::new(grants),
             pacer,
+            answers: Mutex::default(),
             link_refusals: AtomicU64::new(0),
             registration: Mutex::default(),
             queue: Mutex::new(queue),
@@ -200,7 +204,31 @@
         let load = queue.load(clock::now(), route);
         let sending =
             self.pacer.with_queue(|link| link.large_delay(queue.routes(), load.expected_latency));
-        admission::QueueLoad { sending_time: sending, ..load }
+        let is_failing = lock(&self.answers).is_failing(clock::now());
+        admission::QueueLoad { sending_time: sending, is_failing, ..load }
+    }
+
+    /// Returns whether a request that other workers could serve may be sent to this one, which may
+    /// leave most requests unanswered.
+    pub(crate) fn admits_probe(&self) -> bool {
+        lock(&self.answers).admits(clock::now())
+    }
+
+    /// Records that the worker answered a request.
+    pub(crate) fn record_answered(&self) {
+        lock(&self.answers).record_answered();
+    }
+
+    /// Records that the worker closed the connection of a request that was sent at `sent` without a
+    /// complete answer.
+    pub(crate) fn record_broken(&self, sent: time::Instant) {
+        let now = clock::now();
+        let mut answers = lock(&self.answers);
+        let was_failing = answers.is_failing(now);
+        answers.record_broken(now, sent);
+        if !was_failing && answers.is_failing(now) {
+            log::warn!("the worker leaves most requests unanswered");
+        }
     }
 
     /// Returns the use of the worker by route since the last call.
@@ -245,6 +273,7 @@
     pub(crate) fn handle_restart(&self, slots: u32) {
         self.pool.clear();
         self.call_pool.clear();
+        *lock(&self.answers) = answer_share::AnswerShare::default();
         let actions = lock(&self.queue).restart(clock::now(), slots);
         self.reset_warm_up_rule();
         self.apply(actions);
--- a/crates/sidecar/tests/nodes/faulty.rs
+++ b/crates/sidecar/tests/nodes/faulty.rs
@@ -1,5 +1,7 @@
 //! Workers whose responses are repeated, cut off or unsigned.
 
+use std::time::{Duration, Instant};
+
 use crate::crashing;
 use crate::standin::script::complete_response;
 use crate::standin::worker::Behaviour;
@@ -147,3 +149,42 @@
         }
     });
 }
+
+/// Guards against a worker that breaks off every request and is taken for an idle one by each node
+/// until that has failed there itself: the node beside the worker knows, and others can serve.
+#[test]
+fn a_worker_that_answers_nothing_gets_no_requests_of_nodes_that_never_failed_there() {
+    const LEARNERS: usize = 8;
+    const CALLERS: usize = 20;
+    const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+    block_on(async {
+        let mut services = vec!["prices"; CALLERS];
+        services.extend(["desk", "desk"]);
+        let deployment = Deployment::start(&services).await;
+        deployment.configure(1);
+        deployment.wait_until_served("/read/x", None).await;
+        let failing = &deployment.hosts[CALLERS].worker;
+        failing.set_behaviour(Behaviour::Reset);
+        let mut broken_off = 0;
+        let mut number = 0;
+        // A node that failed there tries the other worker for a while.
+        while broken_off < 4 && number < 4_000 {
+            let id = format!("learn-{number}");
+            deployment.call(number % LEARNERS, &id, "/read/x", None).await;
+            broken_off += failing.runs(&id);
+            number += 1;
+            smol::Timer::after(Duration::from_millis(5)).await;
+        }
+        assert_eq!(broken_off, 4, "the worker breaks off requests");
+        let started = Instant::now();
+        let mut broken_off = 0;
+        for host in LEARNERS..CALLERS {
+            let id = format!("fresh-{host}");
+            let response = deployment.call(host, &id, "/read/x", None).await;
+            assert_eq!(response.status, StatusCode::OK, "{response:?}");
+            broken_off += failing.runs(&id);
+        }
+        let probes = started.elapsed().as_millis() / PROBE_INTERVAL.as_millis() + 1;
+        assert!(broken_off <= probes as usize, "{broken_off} with {probes} probes");
+    });
+}
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -243,6 +243,9 @@
     /// Whether the caller was told to return later.
     #[prost(bool, tag = "24")]
     pub is_early: bool,
+    /// Whether another worker could serve the request.
+    #[prost(bool, tag = "25")]
+    pub has_alternatives: bool,
 }
 /// Load of the worker beside the sender.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -270,6 +273,9 @@
     /// microseconds.
     #[prost(uint64, tag = "8")]
     pub slowdown_us: u64,
+    /// Whether the worker leaves most requests unanswered.
+    #[prost(bool, tag = "9")]
+    pub is_failing: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Header {
