Reserve time for the service of requests by the spread of their service times

Cause: under overload the queue of a worker is as long as targets allow, and a request was admitted if it would end just at its target by the mean service time, so that each one that takes longer is late. Where callers compete for room (the contract 'pressure'), 1.3 times the mean was reserved, elsewhere nothing. Class of fault: a mean that is used as a bound.

Change: everywhere, 1.3 times the mean or, if that is more, the mean and 1.6 mean deviations of the route are reserved for requests whose target decides. Large responses keep 1.3, as the reserve for their link covers differences.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -163,6 +163,14 @@
     is_call: bool,
 }
 
+/// Service time of a route, in microseconds.
+#[derive(Clone, Copy, Debug)]
+struct ServiceTime {
+    mean_us: f64,
+    /// Mean deviation from the mean.
+    deviation_us: f64,
+}
+
 /// Priority queue in front of one worker with a limit on running requests.
 #[derive(Debug)]
 pub struct AdmissionQueue {
@@ -175,8 +183,8 @@
     proven: shed_limit::ProvenConcurrency,
     running: HashMap<AdmissionKey, RunningRequest>,
     queue: BTreeMap<(QueueRank, AdmissionKey), AdmissionRequest>,
-    /// Mean service time of each route, in microseconds.
-    service_times: HashMap<Arc<str>, f64>,
+    /// Service time of each route.
+    service_times: HashMap<Arc<str>, ServiceTime>,
     /// Mean service time of all routes, in microseconds.
     mean_service_us: f64,
     /// Number of requests in the mean.
@@ -245,7 +253,7 @@
     /// Returns the mean service time of a route.
     pub fn service_time(&self, route: &str) -> time::Duration {
         match self.service_times.get(route) {
-            Some(micros) => time::Duration(*micros as u64),
+            Some(known) => time::Duration(known.mean_us as u64),
             None => DEFAULT_SERVICE_TIME,
         }
     }
@@ -435,8 +443,11 @@
         // The first requests have equal weights, so that the very first one doesn't dominate.
         let weight = (1.0 / f64::from(self.samples)).max(CAPACITY_WEIGHT);
         self.mean_service_us += (sample - self.mean_service_us) * weight;
-        let mean = self.service_times.entry(route).or_insert(sample);
-        *mean += (sample - *mean) * SERVICE_TIME_WEIGHT;
+        let new = ServiceTime { mean_us: sample, deviation_us: 0.0 };
+        let known = self.service_times.entry(route).or_insert(new);
+        let error = sample - known.mean_us;
+        known.mean_us += error * SERVICE_TIME_WEIGHT;
+        known.deviation_us += (error.abs() - known.deviation_us) * SERVICE_TIME_WEIGHT;
     }
 
     /// Removes a request whose caller has left and returns the queued requests that may run now.
--- a/crates/fleet/src/admission/refusal.rs
+++ b/crates/fleet/src/admission/refusal.rs
@@ -7,10 +7,12 @@
 };
 use crate::room;
 
-/// Time that is reserved for the service of a request, as a multiple of the mean. Service times
-/// differ by a factor of two, and of the requests that would end just at the target every second
-/// one is late.
+/// Lowest time that is reserved for the service of a request, as a multiple of the mean. Of the
+/// requests that would end just at the target every second one is late.
 const RESERVE_FACTOR: f64 = 1.3;
+/// Number of mean deviations above the mean that are reserved. Nine of ten service times with a
+/// normal distribution are shorter.
+const RESERVED_DEVIATIONS: f64 = 1.6;
 
 /// Queued requests that go before another one.
 #[derive(Clone, Copy, Debug, Default)]
@@ -57,14 +59,21 @@
         request.cutoff(self.shares_room)
     }
 
-    /// Returns the time that is reserved for the service of a request: the mean, and more for
-    /// requests whose target decides where callers compete for room.
+    /// Returns the time that is reserved for the service of a request: the mean for calls, and more
+    /// for requests whose target decides, the more their service times differ. For large responses,
+    /// the reserve for the link includes these differences.
     pub(super) fn reserved_time(&self, request: &AdmissionRequest) -> time::Duration {
-        let mean = self.service_time(&request.route);
-        match self.shares_room && !request.is_call {
-            true => time::Duration((mean.0 as f64 * RESERVE_FACTOR) as u64),
-            false => mean,
+        let mean = self.service_time(&request.route).0 as f64;
+        if request.is_call {
+            return time::Duration(mean as u64);
         }
+        let least = mean * RESERVE_FACTOR;
+        if request.sending_time > time::Duration::ZERO {
+            return time::Duration(least as u64);
+        }
+        let known = self.service_times.get(&request.route);
+        let deviation = known.map_or(0.0, |known| known.deviation_us);
+        time::Duration(least.max(mean + deviation * RESERVED_DEVIATIONS) as u64)
     }
 
     /// Returns the time in which room for one more request like this one becomes free.
