Count the target of a repeated request from the first one of its caller

Cause: a request that came again after a refusal got its whole target anew. Repeated requests therefore had the same claim to room as new ones, mostly ended after the target of their caller, and displaced requests that could still have been in time. Class of fault: state that begins anew with each attempt although the caller's clock runs on.

Change: a node remembers the requests that it refused, by their work and the deadline of their caller, which stays the same. A repeated one gets the target of the first. If that has passed, it goes behind others of its priority, and is served only if that takes half of the usual time at most: late answers are still of use where there is room.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod departure;
 pub mod era;
 pub mod evacuation;
+pub mod first_request;
 pub mod grant;
 pub mod lapse;
 pub mod ledger;
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -4,6 +4,7 @@
 
 use cornelridge_fleet::call_load;
 use cornelridge_fleet::config;
+use cornelridge_fleet::first_request;
 use cornelridge_fleet::link;
 use cornelridge_fleet::room;
 use cornelridge_fleet::route_usage;
@@ -50,6 +51,8 @@
     pub(crate) pacer: Arc<pacing::ResponsePacer>,
     /// Times at which callers were told to return.
     pub(crate) return_times: Mutex<room::ReturnTimes>,
+    /// Requests that were refused and may come again.
+    pub(crate) first_requests: Mutex<first_request::FirstRequests>,
     /// How the requests of callers ended.
     pub(crate) ends: usage_watch::SharedEnds,
 }
@@ -72,10 +75,14 @@
             Ok((mut request, max_attempts)) => {
                 (target, deadline) = (request.target, request.deadline);
                 let _running = memory.run();
+                self.restore_target(&mut request);
                 let return_at = self.check_early(&mut request);
                 let result = self.forward(&request, max_attempts).await;
                 self.record_call(&request, &result);
-                result.map_err(|failure| self.with_return_time(&request, return_at, failure))
+                let result =
+                    result.map_err(|failure| self.with_return_time(&request, return_at, failure));
+                self.record_refused(&request, &result);
+                result
             }
             Err(failure) => Err(failure),
         };
@@ -165,6 +172,46 @@
         self.forwarder.dispatch.local_worker.record_call(parent_route, &request.route, outcome);
     }
 
+    /// Sets the target of a request that was refused before to that of the first one. If that has
+    /// passed, the request goes behind others of its priority and waits for less.
+    fn restore_target(&self, request: &mut request::FleetRequest) {
+        if request.is_call {
+            return;
+        }
+        let (identity, deadline) = (work_identity(request), request.caller_deadline);
+        let known = lock(&self.first_requests).target_of(identity, deadline);
+        let Some(target) = known else { return };
+        meter::count_repeated_request(&request.route);
+        request.first_target = target;
+        let now = clock::now();
+        log::info!(
+            request:% = request.id, route:% = request.route,
+            late_us = now.since(target).0, left_us = target.since(now).0;
+            "request repeats a refused one"
+        );
+        if target > now {
+            request.target = request.target.min(target);
+        } else {
+            request.is_early = true;
+            // It may use room that no other request needs.
+            let usual = request.target.since(request.arrived);
+            request.target = request.arrived + time::Duration(usual.0 / 2);
+        }
+    }
+
+    fn record_refused(
+        &self,
+        request: &request::FleetRequest,
+        result: &Result<response::WorkerResponse, RequestFailure>,
+    ) {
+        let is_refused = result.as_ref().is_err_and(|failure| failure.state == RunState::NotRun);
+        if is_refused && !request.is_call {
+            let (identity, deadline) = (work_identity(request), request.caller_deadline);
+            let target = request.first_target;
+            lock(&self.first_requests).record(clock::now(), identity, deadline, target);
+        }
+    }
+
     /// Marks a request that comes before the time that its caller was told; returns that time.
     fn check_early(&self, request: &mut request::FleetRequest) -> Option<time::Instant> {
         if request.is_call || !self.shares_room() {
@@ -245,6 +292,7 @@
         };
         let allowed = header_text(&parts.headers, &names.deadline).parse::<u64>().ok();
         let allowed = allowed.map_or(route.timeout, time::Duration::from_millis);
+        let target = arrived + route.target;
         let deadline = arrived + time::Duration(allowed.0.min(route.timeout.0));
         self.shutdown_deadline.check(deadline)?;
         let body = read_body(incoming, active.config.limits.body_bytes, deadline, memory).await?;
@@ -275,7 +323,9 @@
             memory: memory.clone(),
             key,
             arrived,
-            target: deadline.min(arrived + route.target),
+            target: deadline.min(target),
+            first_target: deadline.min(target),
+            caller_deadline: arrived + allowed,
             deadline,
             is_idempotent: route.retry == config::RetryRule::Idempotent,
             is_bulk: route.is_bulk,
--- a/crates/sidecar/src/meter.rs
+++ b/crates/sidecar/src/meter.rs
@@ -63,6 +63,8 @@
 pub(crate) const UNKNOWN_REQUESTS: &str = "cornelridge_worker_unknown_requests";
 /// Requests that came before the time that their callers were told; label `route`.
 pub(crate) const EARLY_RETURNS: &str = "cornelridge_early_returns_total";
+/// Requests that repeat one that was refused; label `route`.
+pub(crate) const REPEATED_REQUESTS: &str = "cornelridge_repeated_requests_total";
 /// Bytes of large responses sent to other nodes and to callers.
 pub(crate) const LARGE_RESPONSE_BYTES: &str = "cornelridge_large_answer_bytes_total";
 /// Bytes of large responses that wait for the link.
@@ -229,6 +231,11 @@
     metrics::counter!(EARLY_RETURNS, "route" => Arc::clone(route)).increment(1);
 }
 
+/// Counts a request that repeats one that was refused.
+pub(crate) fn count_repeated_request(route: &Arc<str>) {
+    metrics::counter!(REPEATED_REQUESTS, "route" => Arc::clone(route)).increment(1);
+}
+
 /// Counts a response to a caller and records its latency.
 pub(crate) fn count_response(route: &Arc<str>, status: StatusCode, time: time::Duration) {
     let status = status.as_u16().to_string();
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -377,6 +377,7 @@
             shutdown_deadline: self.shutdown_deadline.clone(),
             pacer: Arc::clone(&local_worker.pacer),
             return_times: Mutex::default(),
+            first_requests: Mutex::default(),
             ends,
         });
         smol::spawn(async move {
--- a/crates/sidecar/src/request.rs
+++ b/crates/sidecar/src/request.rs
@@ -67,8 +67,12 @@
     pub is_call: bool,
     /// Route of the request that the worker runs, if this is a call that it made beside this node.
     pub parent_route: Option<Arc<str>>,
-    /// Whether the caller was told to return later.
+    /// Whether the caller was told to return later, or was refused and its target has passed.
     pub is_early: bool,
+    /// Target of the first request of the caller, if this one repeats a refused one.
+    pub first_target: time::Instant,
+    /// Deadline that the caller states, whatever its route allows.
+    pub caller_deadline: time::Instant,
     /// Hash that identifies requests for the same work.
     pub fingerprint: quarantine::RequestFingerprint,
 }
@@ -156,6 +160,8 @@
             is_call: wire.is_call,
             parent_route: None,
             is_early: wire.is_early,
+            first_target: now + time::Duration(wire.target_us),
+            caller_deadline: now + time::Duration(wire.deadline_us),
             fingerprint: quarantine::RequestFingerprint(wire.fingerprint),
         };
         Some((request, worker))
