Take routes for large responses as large before the first one is seen

Cause: a node that has seen no response of a route expects short ones, admits them without regard to its link, and builds a queue of one to two seconds there.

Change: a route that is configured for large responses counts as 100 kB until the first response is known.

link::a_route_for_large_responses_is_large_before_the_first_one tests the decision; its method did not exist before.

--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -5,7 +5,7 @@
 //! responses therefore queue here, in a chosen order, and not in the queue of the link, where they
 //! would delay all traffic.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use cornelridge_model::time;
@@ -14,6 +14,9 @@
 const SIZE_WEIGHT: f64 = 0.1;
 /// Size up to which responses are sent at once, in bytes: a few packets.
 const MAX_SMALL_BYTES: f64 = 16.0 * 1024.0;
+/// Size that is assumed for the responses of a route that is configured for large ones, in bytes: a
+/// picture or a drawing.
+const DEFAULT_LARGE_BYTES: f64 = 100_000.0;
 /// Size of a chunk on a slow link, in bytes. A short response waits for one chunk at most, which
 /// takes 13 ms on a link of 10 Mbit/s.
 pub const MIN_CHUNK_BYTES: usize = 16 * 1024;
@@ -100,6 +103,8 @@
     responses: HashMap<ResponseKey, PendingResponse>,
     /// Mean size of the responses of each route, in bytes.
     mean_sizes: HashMap<Arc<str>, f64>,
+    /// Routes whose responses are assumed to be large, as none is known.
+    assumed_large: HashSet<Arc<str>>,
     /// Mean size of large responses, in bytes; 0 before the first one.
     mean_large_size: f64,
 }
@@ -114,6 +119,7 @@
             sent: SentBytes::default(),
             responses: HashMap::new(),
             mean_sizes: HashMap::new(),
+            assumed_large: HashSet::new(),
             mean_large_size: 0.0,
         }
     }
@@ -126,6 +132,7 @@
     /// Records the size of a response.
     pub fn record_size(&mut self, route: &Arc<str>, bytes: usize) {
         let size = bytes as f64;
+        self.assumed_large.remove(route);
         let mean = self.mean_sizes.entry(Arc::clone(route)).or_insert(size);
         *mean += (size - *mean) * SIZE_WEIGHT;
         if LinkQueue::is_large(bytes) {
@@ -134,6 +141,17 @@
         }
     }
 
+    /// Assumes that the responses of a route are large until one is known. Without that, a node that
+    /// has just started would admit more of them than its link can carry.
+    pub fn assume_large(&mut self, route: &Arc<str>) {
+        self.assumed_large.insert(Arc::clone(route));
+    }
+
+    /// Returns whether the size of the responses of a route is known or assumed.
+    pub fn knows_size(&self, route: &str) -> bool {
+        self.mean_sizes.contains_key(route) || self.assumed_large.contains(route)
+    }
+
     /// Adds a large response that is ready; its chunks are queued by `enqueue_chunk`.
     pub fn start(&mut self, key: ResponseKey, response: LargeResponse) {
         let pending = PendingResponse { response, remaining: response.bytes, queued_chunk: 0 };
@@ -228,7 +246,8 @@
     }
 
     fn size(&self, route: &str) -> f64 {
-        self.mean_sizes.get(route).copied().unwrap_or_default()
+        let assumed = if self.assumed_large.contains(route) { DEFAULT_LARGE_BYTES } else { 0.0 };
+        self.mean_sizes.get(route).copied().unwrap_or(assumed)
     }
 
     /// Returns whether the responses of a route are large on average.
--- a/crates/fleet/tests/link.rs
+++ b/crates/fleet/tests/link.rs
@@ -180,3 +180,18 @@
         "{quiet:?} alone, {busy:?} with other traffic on half of the link"
     );
 }
+
+/// Guards against a node that has just started and admits more large responses than its link can
+/// carry, because it has seen none.
+#[test]
+fn a_route_for_large_responses_is_large_before_the_first_one() {
+    let mut queue = LinkQueue::new(Instant(1_000_000), LINK_BYTES_PER_SECOND);
+    let route: Arc<str> = Arc::from("large");
+    assert!(!queue.knows_size("large") && !queue.expects_large("large"));
+    queue.assume_large(&route);
+    assert!(queue.knows_size("large") && queue.expects_large("large"));
+    queue.record_size(&route, 400);
+    assert!(!queue.expects_large("large"), "its responses turn out to be short");
+    queue.assume_large(&Arc::from("other"));
+    assert!(queue.expects_large("other"));
+}
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -108,6 +108,7 @@
             return Err(RequestFailure::not_run(FailureCause::WorkerRefuses));
         }
         self.local_worker.check_calls(request)?;
+        self.local_worker.pacer.expect(&request.route, || self.view.is_bulk(&request.route));
         let started = clock::now();
         let result = self.admit_and_send(request, &worker, suspect_crash.is_some(), state).await;
         if result.as_ref().is_err_and(|failure| failure.state == RunState::NotRun) {
--- a/crates/sidecar/src/pacing.rs
+++ b/crates/sidecar/src/pacing.rs
@@ -81,6 +81,13 @@
         read(&lock(&self.queue))
     }
 
+    /// Assumes that the responses of a route are large until one is known, if `is_large` says so.
+    pub(crate) fn expect(&self, route: &Arc<str>, is_large: impl FnOnce() -> bool) {
+        if !self.with_queue(|link| link.knows_size(route)) && is_large() {
+            lock(&self.queue).assume_large(route);
+        }
+    }
+
     /// Starts the pacing of a response of `route`.
     pub(crate) fn start(
         self: &Arc<ResponsePacer>,
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -75,6 +75,12 @@
         lock(&self.config).clone()
     }
 
+    /// Returns whether the configuration says that the responses of a route are large.
+    pub(crate) fn is_bulk(&self, route: &str) -> bool {
+        let Some(active) = self.config() else { return false };
+        active.config.routes.iter().any(|known| known.is_bulk && *known.name == *route)
+    }
+
     /// Returns the item of the configuration in force if it is newer than `revision`.
     pub(crate) fn config_item_after(&self, revision: u64) -> Option<items::StoredItem> {
         lock(&self.config_item).clone().filter(|item| item.revision > revision)
