--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -4,7 +4,9 @@
 mod load;
 mod refusal;
 mod reserved_slots;
+mod service_time;
 mod shed_limit;
+mod usage;
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -22,11 +24,6 @@
 
 /// Service time that is assumed for a route before the first measurement.
 const DEFAULT_SERVICE_TIME: time::Duration = time::Duration::from_millis(100);
-/// Weight of one measurement in the mean service time of a route.
-const SERVICE_TIME_WEIGHT: f64 = 0.08;
-/// Weight of one measurement in the mean service time of all routes, which is compared between
-/// workers and has to be steady.
-const CAPACITY_WEIGHT: f64 = 0.03;
 /// Number of requests from which their mean service time is meaningful: service times of single
 /// requests differ by a factor of ten.
 const MIN_SAMPLES: u32 = 24;
@@ -163,14 +160,6 @@
     is_call: bool,
 }
 
-/// Service time of a route, in microseconds.
-#[derive(Clone, Copy, Debug)]
-struct ServiceTime {
-    mean_us: f64,
-    /// Mean deviation from the mean.
-    deviation_us: f64,
-}
-
 /// Priority queue in front of one worker with a limit on running requests.
 #[derive(Debug)]
 pub struct AdmissionQueue {
@@ -184,7 +173,7 @@
     running: HashMap<AdmissionKey, RunningRequest>,
     queue: BTreeMap<(QueueRank, AdmissionKey), AdmissionRequest>,
     /// Service time of each route.
-    service_times: HashMap<Arc<str>, ServiceTime>,
+    service_times: HashMap<Arc<str>, service_time::ServiceTime>,
     /// Mean service time of all routes, in microseconds.
     mean_service_us: f64,
     /// Number of requests in the mean.
@@ -437,19 +426,6 @@
         self.start_queued(now)
     }
 
-    fn record_service_time(&mut self, route: Arc<str>, time: time::Duration) {
-        let sample = time.0 as f64;
-        self.samples = self.samples.saturating_add(1);
-        // The first requests have equal weights, so that the very first one doesn't dominate.
-        let weight = (1.0 / f64::from(self.samples)).max(CAPACITY_WEIGHT);
-        self.mean_service_us += (sample - self.mean_service_us) * weight;
-        let new = ServiceTime { mean_us: sample, deviation_us: 0.0 };
-        let known = self.service_times.entry(route).or_insert(new);
-        let error = sample - known.mean_us;
-        known.mean_us += error * SERVICE_TIME_WEIGHT;
-        known.deviation_us += (error.abs() - known.deviation_us) * SERVICE_TIME_WEIGHT;
-    }
-
     /// Removes a request whose caller has left and returns the queued requests that may run now.
     pub fn cancel(&mut self, now: time::Instant, key: AdmissionKey) -> Vec<AdmissionAction> {
         self.release_reservation(key);
@@ -502,26 +478,6 @@
         actions
     }
 
-    fn count_refusal(&mut self, route: &Arc<str>, reason: RefusalReason) {
-        let usage = self.usage.route(route);
-        match reason {
-            RefusalReason::Link => usage.refused_link += 1,
-            RefusalReason::Slots | RefusalReason::WarmUp | RefusalReason::Calls => {
-                usage.refused_other += 1;
-            }
-        }
-    }
-
-    fn count_slot_time(&mut self, now: time::Instant, ended: &RunningRequest) {
-        let usage = self.usage.route(&ended.route);
-        usage.slot_time = usage.slot_time + now.since(ended.since);
-    }
-
-    /// Returns the use of the worker by route since the last call.
-    pub fn take_usage(&mut self) -> BTreeMap<Arc<str>, route_usage::RouteUsage> {
-        self.usage.take()
-    }
-
     /// Returns the routes of the requests that run or wait.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<str>> {
         let running = self.running.values().map(|running| &running.route);
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -2,6 +2,7 @@
 
 mod history;
 mod opening;
+mod result;
 mod zone;
 
 use std::collections::HashMap;
@@ -27,6 +28,7 @@
 use crate::suspects::incarnation_id;
 use crate::view;
 use crate::view::lock;
+use result::{is_zone_evacuated, worker_result};
 
 /// Number of attempts that reached no worker, above which a request isn't retried.
 const MAX_REFUSALS: u32 = 5;
@@ -479,39 +481,3 @@
         }
     }
 }
-
-fn is_zone_evacuated(result: &Result<response::WorkerResponse, RequestFailure>) -> bool {
-    result.as_ref().is_err_and(|failure| failure.cause == FailureCause::ZoneEvacuated)
-}
-
-/// Returns what a result says of the worker. One that fails a request and leaves most others
-/// unanswered is avoided like one that can't be reached.
-fn worker_result(
-    result: &Result<response::WorkerResponse, RequestFailure>,
-    is_failing: bool,
-) -> selection::WorkerResult {
-    let failure = match result {
-        Ok(response) if response.status.is_server_error() => {
-            return selection::WorkerResult::Failed;
-        }
-        Ok(_) => return selection::WorkerResult::Success,
-        Err(failure) => failure,
-    };
-    match failure.cause {
-        FailureCause::NodeUnreachable
-        | FailureCause::WorkerGone
-        | FailureCause::WorkerLeaving
-        | FailureCause::NodeStopping
-        | FailureCause::NoConfiguration
-        | FailureCause::WorkerRefuses => selection::WorkerResult::Unreachable,
-        FailureCause::Overloaded
-        | FailureCause::WorkerFull
-        | FailureCause::KeyNotHeld
-        | FailureCause::ZoneEvacuated
-        | FailureCause::Suspect
-        | FailureCause::CrashesWorkers => selection::WorkerResult::Refused,
-        FailureCause::CallerLeft => selection::WorkerResult::Cancelled,
-        _ if is_failing => selection::WorkerResult::Unreachable,
-        _ => selection::WorkerResult::Failed,
-    }
-}
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -1,5 +1,8 @@
 //! Serves callers: routes and forwards their requests and returns the responses.
 
+mod ends;
+mod repeated;
+
 use std::sync::{Arc, Mutex};
 
 use cornelridge_fleet::call_load;
@@ -33,6 +36,7 @@
 use crate::usage_watch;
 use crate::view;
 use crate::view::lock;
+use ends::{EndRecorder, record_end};
 
 /// Retry delay for the caller of a request that wasn't run if nothing is known of when there will
 /// be room.
@@ -172,46 +176,6 @@
         self.forwarder.dispatch.local_worker.record_call(parent_route, &request.route, outcome);
     }
 
-    /// Sets the target of a request that was refused before to that of the first one. If that has
-    /// passed, the request goes behind others of its priority and waits for less.
-    fn restore_target(&self, request: &mut request::FleetRequest) {
-        if request.is_call {
-            return;
-        }
-        let (identity, deadline) = (work_identity(request), request.caller_deadline);
-        let known = lock(&self.first_requests).target_of(identity, deadline);
-        let Some(target) = known else { return };
-        meter::count_repeated_request(&request.route);
-        request.first_target = target;
-        let now = clock::now();
-        log::info!(
-            request:% = request.id, route:% = request.route,
-            late_us = now.since(target).0, left_us = target.since(now).0;
-            "request repeats a refused one"
-        );
-        if target > now {
-            request.target = request.target.min(target);
-        } else {
-            request.is_early = true;
-            // It may use room that no other request needs.
-            let usual = request.target.since(request.arrived);
-            request.target = request.arrived + time::Duration(usual.0 / 2);
-        }
-    }
-
-    fn record_refused(
-        &self,
-        request: &request::FleetRequest,
-        result: &Result<response::WorkerResponse, RequestFailure>,
-    ) {
-        let is_refused = result.as_ref().is_err_and(|failure| failure.state == RunState::NotRun);
-        if is_refused && !request.is_call {
-            let (identity, deadline) = (work_identity(request), request.caller_deadline);
-            let target = request.first_target;
-            lock(&self.first_requests).record(clock::now(), identity, deadline, target);
-        }
-    }
-
     /// Marks a request that comes before the time that its caller was told; returns that time.
     fn check_early(&self, request: &mut request::FleetRequest) -> Option<time::Instant> {
         if request.is_call || !self.shares_room() {
@@ -355,43 +319,6 @@
     ends: usage_watch::SharedEnds,
 }
 
-/// Records the end of a request that got a response, when dropped.
-struct EndRecorder {
-    ends: usage_watch::SharedEnds,
-    route: Arc<str>,
-    arrived: time::Instant,
-    /// When the response began.
-    started: time::Instant,
-    target: time::Instant,
-    is_success: bool,
-    is_complete: bool,
-}
-
-impl Drop for EndRecorder {
-    fn drop(&mut self) {
-        let now = clock::now();
-        let end = match (self.is_success, self.is_complete) {
-            (false, _) => route_usage::RequestEnd::Failed,
-            (true, false) => route_usage::RequestEnd::Left,
-            (true, true) if now <= self.target => route_usage::RequestEnd::InTime,
-            (true, true) => route_usage::RequestEnd::Late,
-        };
-        let waiting = self.started.since(self.arrived);
-        record_end(&self.ends, &self.route, end, waiting, now.since(self.started));
-    }
-}
-
-fn record_end(
-    ends: &usage_watch::SharedEnds,
-    route: &Arc<str>,
-    end: route_usage::RequestEnd,
-    waiting: time::Duration,
-    sending: time::Duration,
-) {
-    meter::count_request_end(route, end);
-    lock(ends).route(route).record(end, waiting, sending);
-}
-
 impl Drop for AbandonGuard {
     fn drop(&mut self) {
         if self.is_answered {
